--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,174 @@
+"""Each scenario prints the decisions of one situation; the expected traces are in tests/traces."""
+
+import io
+import json
+
+import pytest
+from drive import Drive, kept
+
+from wheathill.drill.__main__ import main
+from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat
+
+FLEET = ("a", "b", "c", "d")
+
+
+def ordinary_path():
+    d = Drive(loads={"a": 0.9, "b": 0.1, "c": 0.3, "d": 0.3})
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.shares()
+    d.loud = False
+    held = [d.accept(f"s{i}") for i in range(80)]
+    d.loud = True
+    d.until(2500.0)
+    d.shares()
+    moved = next(s for s in held if d.balancer.table.new[s.slot] is not None)
+    d.say("a new key on a shifted slot, then the same and an old key mid-flow:")
+    key = next(k for k in map(str, range(9999)) if d.balancer.table.new[_slot(d, k)] is not None)
+    d.session("new", key=key)
+    d.session("again", key=key, mid_flow=True)
+    d.session("old", key=moved.key, mid_flow=True)
+    d.loads["a"] = 0.3
+    d.until(20_000.0)
+    d.shares()
+    d.say("after the hard time-out the old key is an exception:")
+    d.session("old", key=moved.key, mid_flow=True)
+    return d.lines
+
+
+def _slot(d, key):
+    from wheathill.policy import slot_of
+    return slot_of(key, d.balancer.table.size)
+
+
+def join_and_leave():
+    d = Drive(loads=dict.fromkeys("abcde", 0.3))
+    d.list(*reversed(FLEET), kind=ListKind.FULL)
+    before = list(d.balancer.table.current)
+    d.list("e")
+    d.shares()
+    table = d.balancer.table
+    d.say(f"slots that changed without going to e: "
+          f"{sum(x is not y and y is not d.servers['e'] for x, y in zip(before, table.current))}")
+    d.list(("e", Phase.GONE))
+    d.say(f"table as before: {before == table.current}")
+    d.list("a", "b", "c", kind=ListKind.FULL)
+    d.shares()
+    return d.lines
+
+
+def drain():
+    d = Drive()
+    d.list("a", "b", kind=ListKind.CACHED)
+    held = next(s for s in map(d.accept, "0123456789") if s.server is d.servers["a"])
+    d.list(("a", Phase.DRAINING))
+    d.loud = False
+    later = [d.session(f"later {i}") for i in range(50)]
+    d.loud = True
+    d.say(f"new sessions to a draining server: {sum(s.server is d.servers['a'] for s in later)}")
+    d.list(("b", Phase.GONE))
+    d.session("nobody left")
+    return d.lines
+
+
+def repeats():
+    d = Drive(most_dials=6)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    for listener in (Listener("repeatable"), Listener("once-only", Repeat.ONCE_ONLY),
+                     Listener("referenced, all", Repeat.REFERENCED, "all", 500.0),
+                     Listener("referenced, zone", Repeat.REFERENCED, "zone", 500.0)):
+        for outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR):
+            d.now += 60_000.0
+            sess = d.session(f"{listener.name}/{outcome.value}", listener)
+            while not sess.ended:
+                d.now += 200.0
+                d.outcome(sess, outcome)
+    return d.lines
+
+
+def quick_failures():
+    d = Drive(loads={"a": 0.0, "b": 0.9, "c": 0.9, "d": 0.9})
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.loud = False
+    to_a = 0
+    for i in range(400):
+        d.until(d.now + 25.0)
+        sess = d.session(f"s{i}")
+        while sess.server is d.servers["a"] and not sess.ended:
+            to_a += 1
+            d.outcome(sess, Outcome.ERROR)
+        d.balancer.on_accepted(d.now, sess)
+    d.loud = True
+    d.say(f"of 400 sessions, dials to the failing server: {to_a}")
+    d.shares()
+    return d.lines
+
+
+def cold_start():
+    d = Drive(loads=dict.fromkeys(FLEET, 0.5))
+    d.now = 60_000.0
+    d.list("a", "b", "c", ("d", 60_000.0), kind=ListKind.CACHED)
+    d.loud = False
+    for second in range(12):
+        to_d = 0
+        for i in range(40):
+            d.until(d.now + 25.0)
+            to_d += d.accept(f"{second}/{i}").server is d.servers["d"]
+        d.loud = True
+        d.say(f"of 40 sessions to the cold server: {to_d}")
+        d.loud = False
+    return d.lines
+
+
+def list_out_of_reach():
+    d = Drive(must_ask=True)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    for _ in range(3):
+        d.list(kind=ListKind.FAILED)
+        d.until(d.now + 20_000.0)
+    d.list(kind=ListKind.CHANGES)
+    d.session("served from the old list")
+    return d.lines
+
+
+def odd_input():
+    d = Drive()
+    d.session("no list yet")
+    d.list("a", "a", kind=ListKind.FULL)
+    d.session("no time left", left=0.0)
+    for figure in (-1.0, None, float("nan")):
+        d.balancer.on_probed(d.now, d.servers["a"], True, [figure])
+    d.balancer.on_probed(d.now, d.servers["a"], True, None)
+    d.say(f"figures taken from broken reports: {len(d.servers['a'].samples)}")
+    sess = d.session("a server that left")
+    d.list(kind=ListKind.FULL)
+    d.outcome(sess, Outcome.RESET)
+    d.balancer.on_probed(d.now, d.servers["a"], True, [0.5])
+    return d.lines
+
+
+SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
+                                           cold_start, list_out_of_reach, odd_input)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_trace(name):
+    assert kept(name, SCENARIOS[name]())
+
+
+START = ["start", "p/0", 1, {"listeners": [], "balancers": 1}]
+
+
+@pytest.mark.parametrize("events, said", [
+    ("{", "line 2: not JSON"),
+    ("[]", "line 2: not a batch with a clock and events"),
+    ([["surprise", "p/0"]], "line 2: unknown event 'surprise'"),
+    ([["hangup", "p/0"]], "line 2: hangup takes 1 values after the instance, not 0"),
+    ([["hangup", "p/1", "x"]], "line 2: hangup for instance 'p/1', which was never started"),
+])
+def test_malformed_line(events, said, capsys):
+    bad = events if isinstance(events, str) else json.dumps({"tS": 1.0, "happened": events})
+    out = io.StringIO()
+    lines = json.dumps({"tS": 0.5, "happened": [START]}) + "\n" + bad + "\n"
+    assert main(io.BytesIO(lines.encode()), out) == 2
+    assert capsys.readouterr().err == said + "\n"
+    assert out.getvalue().count("\n") == 1
--- /dev/null
+++ b/wheathill/__init__.py
@@ -0,0 +1,1 @@
+"""wheathill: a balancer for long-lived connections."""
--- /dev/null
+++ b/wheathill/drill/__main__.py
@@ -0,0 +1,225 @@
+"""The adapter: the bench's wire on standard input and output, one Balancer per instance.
+
+Ids become objects at this door; nothing is decided here.
+"""
+
+import base64
+import json
+import random
+import sys
+
+from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat, Server, Session
+from wheathill.policy import Balancer
+
+REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
+PHASES = {3: Phase.READY, 0: Phase.DRAINING, 2: Phase.GONE}
+LIST_KINDS = {0: ListKind.CHANGES, 1: ListKind.FULL, 2: ListKind.CACHED, 3: ListKind.FAILED}
+OUTCOMES = {"completed": Outcome.COMPLETED, "errored": Outcome.ERROR, "saturated": Outcome.FULL,
+            "overdue": Outcome.OVERDUE, "refused_conn": Outcome.CONNECT_FAILED, "severed": Outcome.RESET,
+            "recalled": Outcome.CANCELLED, "superseded": Outcome.NEVER_SENT}
+REPORT_NAMES = {"waiting": "queue"}
+HINTED, RETURNING, MID_FLOW = 1, 16, 8
+LOAD_NOTICE, SLOW_NOTICE = 1, 2
+
+
+class Malformed(Exception):
+    pass
+
+
+class Door:
+    """One instance: its Balancer, and the ids of what the Balancer knows as objects."""
+
+    def __init__(self, name, orders):
+        self.name = name
+        self.orders = orders
+        self.servers = {}
+        self.sessions = {}
+        self.handles = {}
+        self.balancer = None
+
+    def start(self, now, seed, config):
+        limits = config.get("limits", {})
+        duties = config.get("obligations", {})
+        self.listeners = [
+            Listener(name=item.get("name", ""), repeat=REPEATS.get(item.get("repeat"), Repeat.ONCE_ONLY),
+                     scope=item.get("dedupScope", "cell"), window=item.get("windowS", 0.0) * 1000,
+                     handshake_target=item.get("handshakeTargetS", 0.5) * 1000,
+                     dial_timeout=item.get("dialTimeoutS", 2.0) * 1000, utility=item.get("utility", 1.0))
+            for item in config.get("listeners", [])]
+        report = config.get("report", {})
+        names = [] if report.get("how", "off") == "off" else report.get("names", [])
+        self.balancer = Balancer(
+            self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers", 1)),
+            report_names=[REPORT_NAMES.get(name, name) for name in names],
+            may_probe=limits.get("mayProbe", False), must_ask=config.get("membershipMode") == "subscribe",
+            drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
+            cold_for=duties.get("coldS", 20.0) * 1000, cold_multiple=duties.get("tipMultiple", 1.0),
+            cold_window=duties.get("tipAfterS", 1.0) * 1000, most_dials=limits.get("maxDials", 1),
+            longest_wait=limits.get("maxRetryAfterS", 0.0) * 1000 if limits.get("retryAfter") else 0.0)
+        self.balancer.on_start(now)
+
+    def list_changed(self, now, scope, _version, lines):
+        entries = []
+        for weight, zone, name, cell, started, _machine, phase in lines or []:
+            server = self.servers.get(name)
+            if server is None:
+                server = self.servers[name] = Server(name)
+            server.zone, server.cell = zone, cell
+            entries.append((server, PHASES.get(phase, Phase.GONE), weight, started * 1000 if started else None))
+        self.balancer.on_list(now, LIST_KINDS[scope], entries)
+
+    def make_session(self, now, handle, listener, tenant, key, left, load, group, marks):
+        known = listener is not None and 0 <= listener < len(self.listeners)
+        sess = Session(listener=self.listeners[listener] if known else Listener("", Repeat.ONCE_ONLY),
+                       key=key or handle, deadline=now + (left or 0.0) * 1000, tenant=tenant or 0, group=group,
+                       load=load if (marks or 0) & HINTED else None, mid_flow=bool((marks or 0) & MID_FLOW),
+                       returning=bool((marks or 0) & RETURNING))
+        self.sessions[handle] = sess
+        self.handles[sess] = handle
+        return sess
+
+    def session(self, now, *fields):
+        self.balancer.on_session(now, self.make_session(now, *fields))
+
+    def open_session(self, now, *fields):
+        server = self.servers.get(fields[-1]) or self.servers.setdefault(fields[-1], Server(fields[-1]))
+        self.balancer.on_open_session(now, self.make_session(now, *fields[:-1]), server)
+
+    def accepted(self, now, handle, _server, _dial, _spent):
+        if handle in self.sessions:
+            self.balancer.on_accepted(now, self.sessions[handle])
+
+    def outcome(self, now, handle, _dial, _server, code, _spent, closed, report):
+        sess = self.sessions.get(handle)
+        if sess is not None:
+            if closed:
+                self.forget(sess)
+            self.balancer.on_outcome(now, sess, OUTCOMES.get(code, Outcome.ERROR), bool(closed))
+
+    def hang_up(self, now, handle):
+        sess = self.sessions.get(handle)
+        if sess is not None:
+            self.forget(sess)
+            self.balancer.on_hang_up(now, sess)
+
+    def notice(self, now, handle, _dial, _server, topic, level):
+        if handle in self.sessions and topic == LOAD_NOTICE:
+            self.balancer.on_notice(now, self.sessions[handle], load=level)
+        elif handle in self.sessions and topic == SLOW_NOTICE:
+            self.balancer.on_notice(now, self.sessions[handle], message_ms=level)
+
+    def probed(self, now, name, code, _spent, report):
+        if name in self.servers:
+            self.balancer.on_probed(now, self.servers[name], code == "completed", report)
+
+    def peer(self, now, peer, message):
+        self.balancer.on_peer(now, peer, base64.b64decode(message or ""))
+
+    def alarm_rang(self, now, name):
+        self.balancer.on_alarm(now, name)
+
+    def forget(self, sess):
+        handle = self.handles.pop(sess, None)
+        self.sessions.pop(handle, None)
+
+    def order(self, name, *fields):
+        self.orders.append([name, self.name, *fields])
+
+    def dial(self, sess, server, time_out):
+        self.order("forward", self.handles[sess], time_out / 1000, server.name)
+
+    def refuse(self, sess, come_back_after):
+        self.order("notNow", self.handles[sess], come_back_after / 1000)
+        self.forget(sess)
+
+    def tear_down(self, sess):
+        self.order("error", self.handles[sess])
+        self.forget(sess)
+
+    def cancel(self, sess, dial):
+        self.order("retract", self.handles[sess], dial)
+
+    def move(self, sess):
+        self.order("relocate", self.handles[sess])
+
+    def probe(self, server):
+        self.order("sample", server.name)
+
+    def close_idle(self, server):
+        self.order("freeLinks", server.name)
+
+    def follow_list(self, on):
+        self.order("follow", on)
+
+    def fetch_list(self):
+        self.order("snapshot")
+
+    def tell(self, peer, message):
+        self.order("broadcastTo", -1 if peer is None else peer, base64.b64encode(message).decode())
+
+    def alarm(self, name, at):
+        self.order("timer", name, at / 1000)
+
+    def log(self, text):
+        self.order("trace", text)
+
+
+# Name of an event -> (what it calls, how many values follow the instance).
+EVENTS = {"rosterChange": (Door.list_changed, 3), "accept": (Door.session, 8),
+          "takenOver": (Door.open_session, 9), "accepted": (Door.accepted, 4), "notice": (Door.notice, 5),
+          "reply": (Door.outcome, 7), "hangup": (Door.hang_up, 1), "probeResult": (Door.probed, 4),
+          "datagram": (Door.peer, 2), "ring": (Door.alarm_rang, 1)}
+
+
+def check(batch):
+    if not isinstance(batch, dict) or not isinstance(batch.get("happened"), list) \
+            or isinstance(batch.get("tS"), bool) or not isinstance(batch.get("tS"), (int, float)):
+        raise Malformed("not a batch with a clock and events")
+
+
+def take(doors, now, event, orders):
+    if not isinstance(event, list) or len(event) < 2 or not isinstance(event[1], str):
+        raise Malformed("an event is an array of a name, an instance and values")
+    name, instance, *fields = event
+    if name == "start":
+        if len(fields) != 2 or not isinstance(fields[1], dict):
+            raise Malformed("start takes a seed and settings")
+        doors[instance] = Door(instance, orders)
+        doors[instance].start(now, *fields)
+        return
+    if name != "crashNow" and name not in EVENTS:
+        raise Malformed(f"unknown event {name!r}")
+    if instance not in doors:
+        raise Malformed(f"{name} for instance {instance!r}, which was never started")
+    if name == "crashNow":
+        del doors[instance]
+        return
+    call, count = EVENTS[name]
+    if len(fields) != count:
+        raise Malformed(f"{name} takes {count} values after the instance, not {len(fields)}")
+    doors[instance].orders = orders
+    call(doors[instance], now, *fields)
+
+
+def main(source=sys.stdin.buffer, out=sys.stdout):
+    doors = {}
+    for number, line in enumerate(source, 1):
+        orders = []
+        try:
+            try:
+                batch = json.loads(line)
+            except ValueError:
+                raise Malformed("not JSON") from None
+            check(batch)
+            for event in batch["happened"]:
+                take(doors, batch["tS"] * 1000, event, orders)
+        except Malformed as wrong:
+            print(f"line {number}: {wrong}", file=sys.stderr)
+            return 2
+        out.write(json.dumps({"orders": orders}, separators=(",", ":")) + "\n")
+        out.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wheathill/model.py
@@ -0,0 +1,116 @@
+"""What the decisions are about, and the actions they may call for.
+
+Times are milliseconds with fractions. These objects point to each other; ids of any
+wire stay with the adapter, except `Server.name`, which the slot table has to hash.
+"""
+
+import enum
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+
+class Repeat(enum.Enum):
+    REPEATABLE = "repeatable"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Phase(enum.Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(enum.Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Outcome(enum.Enum):
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    OVERDUE = "overdue"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NEVER_SENT = "never sent"
+
+    @property
+    def never_ran(self):
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
+
+
+@dataclass(eq=False)
+class Listener:
+    name: str
+    repeat: Repeat = Repeat.REPEATABLE
+    scope: str = "all"                  # of a referenced listener: all, zone or cell
+    window: float = 0.0
+    handshake_target: float = 500.0
+    dial_timeout: float = 2000.0
+    message_target: float = 100.0
+    utility: float = 1.0
+
+
+@dataclass(eq=False)
+class Server:
+    name: str
+    zone: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    started: float | None = None        # None: long ago
+    phase: Phase = Phase.READY
+    told: float = 0.0                   # when this proxy heard that it drains or is gone
+    scores: list = field(default_factory=list)      # by slot, lower wins
+    samples: deque = field(default_factory=lambda: deque(maxlen=4))     # (time, load figure)
+    probed: float | None = None         # when the probe that is out was sent
+    silent: int = 0                     # probes without an answer since the last one answered
+    results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
+    dialled: deque = field(default_factory=lambda: deque(maxlen=64))    # when, while it is cold
+    shift_after: float = 0.0
+    sessions: dict = field(default_factory=dict)    # open here, in order of arrival
+
+
+@dataclass(eq=False)
+class Dial:
+    server: Server
+    sent: float
+    may_have_run: bool = True
+
+
+@dataclass(eq=False)
+class Session:
+    listener: Listener
+    key: str
+    deadline: float
+    tenant: int = 0
+    group: str | None = None
+    load: float | None = None
+    mid_flow: bool = False
+    returning: bool = False
+    slot: int = 0
+    server: Server | None = None        # of the dial that is out or accepted
+    dials: list = field(default_factory=list)
+    accepted: float | None = None       # when
+    ended: bool = False
+
+
+class Actions(Protocol):
+    """What the decisions ask of whatever carries the sessions: the drill now, a proxy later."""
+
+    def dial(self, sess: Session, server: Server, time_out: float) -> None: ...
+    def refuse(self, sess: Session, come_back_after: float) -> None: ...
+    def tear_down(self, sess: Session) -> None: ...
+    def cancel(self, sess: Session, dial: int) -> None: ...
+    def move(self, sess: Session) -> None: ...
+    def probe(self, server: Server) -> None: ...
+    def close_idle(self, server: Server) -> None: ...
+    def follow_list(self, on: bool) -> None: ...
+    def fetch_list(self) -> None: ...
+    def tell(self, peer: int | None, message: bytes) -> None: ...
+    def alarm(self, name: str, at: float) -> None: ...
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/wheathill/policy.py
@@ -0,0 +1,578 @@
+"""All decisions of wheathill.
+
+One `Balancer` decides for one proxy. Whoever carries the sessions calls its `on_*` methods,
+one for each thing that happened, with the time in milliseconds first; it answers by calling the
+`Actions` of `wheathill/model.py`, where its interface (Server, Session, Listener, Outcome) is
+defined. Nothing here reads a clock, a file or a socket, and no name is ever looked at: a
+server's name is only hashed. The mechanism is that of docs/design.md: a slot table after INCAB
+(arXiv paper "In-network Congestion-aware Load Balancing at Transport Layer").
+"""
+
+import hashlib
+import math
+from statistics import fmean, median
+
+from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
+
+
+def slot_of(text, size):
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big") % size
+
+
+def slot_scores(name, size):
+    """-ln of a uniform draw per slot: the lowest score over weight is the highest weighted hash."""
+    raw = hashlib.shake_128(name.encode()).digest(4 * size)
+    return [-math.log((int.from_bytes(raw[i:i + 4], "big") + 1) / (2**32 + 1)) for i in range(0, 4 * size, 4)]
+
+
+class SlotTable:
+    """Current and new table; which server a session's key leads to."""
+
+    def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age):
+        self.choose = choose
+        self.size = size
+        self.least = least
+        self.moved_share = moved_share
+        self.hard_time_out = hard_time_out
+        self.keys_kept = keys_kept
+        self.keys_age = keys_age
+        self.current = [None] * size
+        self.new = [None] * size
+        self.sessions = [{} for _ in range(size)]
+        self.opened = {}        # slot -> when its entry in the new table was written
+        self.moved = {}         # key -> (server, when), oldest first
+        self.exceptions = {}    # key -> (server, when), oldest first
+
+    def place(self, now, key, slot):
+        server = self.new[slot]
+        if server is None:
+            return self.current[slot]
+        self.moved.pop(key, None)
+        self.moved[key] = (server, now)
+        if len(self.moved) > self.keys_kept:
+            del self.moved[next(iter(self.moved))]
+        return server
+
+    def find(self, key, slot):
+        """The server that should hold a connection whose packets arrive mid-flow."""
+        for known in (self.exceptions, self.moved):
+            if key in known:
+                return known[key][0]
+        return self.current[slot]
+
+    def accepted(self, now, sess):
+        self.sessions[sess.slot][sess] = None
+        if sess.server not in (self.current[sess.slot], self.new[sess.slot]):
+            self.except_key(now, sess)
+
+    def ended(self, sess):
+        self.sessions[sess.slot].pop(sess, None)
+        self.exceptions.pop(sess.key, None)
+
+    def except_key(self, now, sess):
+        if len(self.exceptions) < self.keys_kept:
+            self.exceptions[sess.key] = (sess.server, now)
+
+    @staticmethod
+    def best(slot, servers, factor=lambda server: 1.0):
+        return min(servers, key=lambda server: server.scores[slot] / (server.weight * factor(server)),
+                   default=None)
+
+    def join(self, now, joined, live):
+        """Give joiners the slots that the highest hash gives them, about the mean count, whatever
+        was shifted meanwhile: every proxy with the same list then arrives at the same slots."""
+        for server in joined:
+            if not server.scores:
+                server.scores = slot_scores(server.name, self.size)
+        if not joined:
+            return
+        for slot in range(self.size):
+            server = self.best(slot, live)
+            if server in joined and self.current[slot] is not server:
+                self.redirect(now, slot, server)
+
+    def leave(self, now, left, live):
+        for slot in range(self.size):
+            if self.new[slot] in left:
+                self.clear(slot)
+            if self.current[slot] in left:
+                # A server that is leaving gets nothing new, so the slot cannot wait for its end.
+                self.current[slot] = self.new[slot] or self.best(slot, live)
+                self.clear(slot)
+
+    def redirect(self, now, slot, server):
+        if self.current[slot] is not None and self.sessions[slot]:
+            self.new[slot] = server
+            self.opened[slot] = now
+        else:
+            self.current[slot] = server
+            self.clear(slot)
+
+    def clear(self, slot):
+        self.new[slot] = None
+        self.opened.pop(slot, None)
+
+    def halve(self, now, levels, wait, usable):
+        """Shift half of one top-level server's free slots to servers on lower levels."""
+        top = max(levels.values(), default=0)
+        tops = [server for server, level in levels.items() if level == top and server.shift_after <= now]
+        lower = [server for server, level in levels.items() if level < top and usable(server)]
+        room = int(self.size * self.moved_share) - len(self.opened)
+        if not lower or not tops or room <= 0 or len(self.exceptions) >= self.keys_kept:
+            return None
+        server = self.choose(tops)
+        free = [slot for slot in range(self.size) if self.current[slot] is server and self.new[slot] is None]
+        count = min(len(free) // 2, len(free) - self.least, room)
+        if count <= 0:
+            return None
+        server.shift_after = now + wait
+        # Which slots go, and where to, is settled by hash, so that proxies which see the same levels
+        # shift alike and a connection that arrives mid-flow at another proxy still finds its server.
+        free.sort(key=lambda slot: -server.scores[slot])
+        for slot in free[:count]:
+            self.redirect(now, slot, self.best(slot, lower, lambda other: 2.0 ** (top - levels[other])))
+        return server, count
+
+    def close(self, now):
+        """End the transition of slots whose old connections are over, or have had long enough."""
+        for known in (self.moved, self.exceptions):
+            for key in [key for key, (_, when) in known.items() if when < now - self.keys_age]:
+                del known[key]
+        for slot, since in list(self.opened.items()):
+            old = [sess for sess in self.sessions[slot] if sess.server is not self.new[slot]]
+            if old and (now - since < self.hard_time_out or
+                        len(self.exceptions) + len(old) > self.keys_kept):
+                continue
+            for sess in old:
+                self.except_key(now, sess)
+            for sess in self.sessions[slot]:
+                self.moved.pop(sess.key, None)
+            self.current[slot] = self.new[slot]
+            self.clear(slot)
+
+
+class LoadLevels:
+    """From the last few probe answers to doubling levels."""
+
+    def __init__(self, names, fresh):
+        self.names = names
+        self.fresh = fresh
+        # Load over capacity says most; a queue or a count of connections only orders the servers.
+        self.source = next((name for name in ("x0", "queue") if name in names), None)
+        self.base = 1.0 if self.source == "queue" else 0.25
+
+    def sample(self, now, server, report):
+        if self.source and report and len(report) == len(self.names):
+            figure = report[self.names.index(self.source)]
+            if figure is not None and figure >= 0 and math.isfinite(figure):
+                server.samples.append((now, figure))
+
+    def figure(self, now, server):
+        recent = [figure for when, figure in server.samples if when > now - self.fresh]
+        return fmean(recent) if recent else None
+
+    def level(self, figure):
+        return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
+
+    def levels(self, now, servers):
+        if self.source:
+            known = {server: self.figure(now, server) for server in servers}
+        else:
+            mean = fmean([len(server.sessions) for server in servers] or [0]) or 1.0
+            known = {server: len(server.sessions) / mean for server in servers}
+        found = {server: self.level(figure) for server, figure in known.items() if figure is not None}
+        middle = int(median(found.values())) if found else 0
+        return {server: found.get(server, middle) for server in servers}
+
+
+class Roster:
+    """Follows the list of servers; tells who joined and who left."""
+
+    def __init__(self, actions, must_ask, drain_grace, uniform):
+        self.actions = actions
+        self.must_ask = must_ask
+        self.drain_grace = drain_grace
+        self.uniform = uniform
+        self.servers = {}       # ready ones, in order of name: the same at every proxy
+        self.following = False
+        self.asked = None
+        self.failures = 0
+
+    def ask(self, now):
+        if self.must_ask and not self.following and self.asked is None:
+            self.asked = now
+            self.actions.follow_list(True)
+
+    def update(self, now, kind, entries):
+        """Entries are (server, phase, weight, started). Returns (joined, left)."""
+        if kind is ListKind.FAILED:
+            # Every proxy meets the failure at once; asking again together would keep the list
+            # service down, so the wait doubles and is spread.
+            self.following = False
+            self.asked = None
+            self.failures += 1
+            wait = min(8000.0, 500.0 * 2.0 ** min(self.failures, 5)) * self.uniform(0.5, 1.0)
+            self.actions.alarm("follow", now + wait)
+            return [], []
+        if kind is not ListKind.CACHED and self.asked is not None:
+            self.following, self.asked, self.failures = True, None, 0
+        joined, left, listed = {}, {}, {}
+        for server, phase, weight, started in entries:
+            listed[server] = None
+            restarted = started is not None and server.started is not None and started > server.started
+            if started is not None and server.started is None and server in self.servers:
+                restarted = True
+            server.weight = weight if weight and weight > 0 else 1.0
+            server.started = started
+            if phase is Phase.READY:
+                if server not in self.servers or restarted:
+                    joined[server] = None
+                    # A new process knows nothing of what the old one was judged by.
+                    server.samples.clear()
+                    server.results.clear()
+                    server.dialled.clear()
+                    server.silent, server.probed = 0, None
+                server.phase = Phase.READY
+            elif server.phase is Phase.READY or server in self.servers:
+                self.lose(now, server, phase, left)
+            else:
+                server.phase = phase
+        if kind is not ListKind.CHANGES:
+            for server in [server for server in self.servers if server not in listed]:
+                self.lose(now, server, Phase.GONE, left)
+        self.servers.update(joined)
+        self.servers = {server: None for server in sorted(self.servers, key=lambda server: server.name)
+                        if server.phase is Phase.READY}
+        return [server for server in joined if server in self.servers], list(left)
+
+    @staticmethod
+    def lose(now, server, phase, left):
+        server.phase = phase
+        server.told = now
+        left[server] = None
+
+    def may_dial(self, now, server, mid_flow):
+        """Rule 3. A draining server still carries on what it holds, but only within the grace."""
+        if server.phase is Phase.READY:
+            return True
+        return mid_flow and server.phase is Phase.DRAINING and now < server.told + self.drain_grace / 2
+
+
+class Health:
+    """Who answers, judged by the last few dials and probes of this proxy alone."""
+
+    def __init__(self, may_probe, rest, memory):
+        self.may_probe = may_probe
+        self.rest = rest
+        self.memory = memory
+
+    def dialled(self, now, server, well):
+        server.results.append((now, well))
+
+    def silent(self, server):
+        return server.silent >= 2
+
+    def failing(self, now, server):
+        recent = [(when, well) for when, well in server.results if when > now - self.memory]
+        bad = [when for when, well in recent if not well]
+        return len(bad) >= 2 and 3 * len(bad) >= len(recent) and now - bad[-1] < self.rest
+
+    def ill(self, now, server):
+        return self.silent(server) or self.failing(now, server)
+
+    def well(self, now, servers):
+        """Who may be dialled. When most look ill the cause is shared, and leaving out the ill would
+        only crowd the rest: then nobody is left out but those that are silent."""
+        good = [server for server in servers if not self.ill(now, server)]
+        if 2 * len(good) >= len(servers):
+            return good
+        return [server for server in servers if not self.silent(server)] or list(servers)
+
+
+class ColdBudget:
+    """Rule 4: this proxy's part of what a server that has just started can take."""
+
+    def __init__(self, proxies, start_share, cold_for, multiple, window):
+        self.proxies = proxies
+        self.start_share = start_share
+        self.cold_for = cold_for
+        self.multiple = multiple
+        self.window = window
+
+    def cold(self, now, server):
+        return server.started is not None and now < server.started + self.cold_for
+
+    def allows(self, now, server, bearable):
+        """`bearable` is what warm servers hold at full load, in this proxy's own connections."""
+        if not self.cold(now, server):
+            return True
+        ready = self.start_share + (1 - self.start_share) * max(0.0, now - server.started) / self.cold_for
+        # A server fills over its warm-up at the fastest; half the budget is left for repeats,
+        # probes and handshakes, and for what other proxies send when they know less.
+        rate = bearable / self.cold_for * ready * self.multiple / 2
+        gap = max(self.window / 16, min(1 / max(rate, 1e-9), self.proxies * self.window))
+        return not server.dialled or now - server.dialled[-1] >= gap
+
+    def dialled(self, now, server):
+        if self.cold(now, server):
+            server.dialled.append(now)
+
+
+class Stage:
+    """One of the stages a session passes; results come back through them in reverse."""
+
+    def __init__(self):
+        self.next = None
+        self.before = None
+
+    def enter(self, now, sess):
+        self.next.enter(now, sess)
+
+    def back(self, now, sess, outcome):
+        self.before.back(now, sess, outcome)
+
+
+class Admission(Stage):
+    """Takes a session in, and gives its final answer when no later stage could."""
+
+    def __init__(self, actions, longest_wait):
+        super().__init__()
+        self.actions = actions
+        self.longest_wait = longest_wait
+
+    def enter(self, now, sess):
+        if sess.deadline <= now:
+            self.back(now, sess, None)
+        else:
+            self.next.enter(now, sess)
+
+    def back(self, now, sess, outcome):
+        sess.ended = True
+        if may_refuse(sess):
+            self.actions.refuse(sess, min(self.longest_wait, sess.listener.handshake_target))
+        else:
+            self.actions.tear_down(sess)
+
+
+class Placement(Stage):
+    """Names the server: the table's for the first dial, the next hash in line for further ones."""
+
+    def __init__(self, table, roster, health, cold, bearable, most_dials):
+        super().__init__()
+        self.table = table
+        self.roster = roster
+        self.health = health
+        self.cold = cold
+        self.bearable = bearable
+        self.most_dials = most_dials
+
+    def enter(self, now, sess):
+        sess.slot = slot_of(sess.key, self.table.size)
+        if sess.mid_flow:
+            # The server keeps such a connection for a short time only: asked at once, ill or not.
+            server = self.table.find(sess.key, sess.slot)
+            if server is not None and self.roster.may_dial(now, server, True):
+                sess.server = server
+                return self.next.enter(now, sess)
+        server = self.table.place(now, sess.key, sess.slot)
+        self.go(now, sess, server)
+
+    def go(self, now, sess, server):
+        """Exception: where the table's server may not be dialled, the next highest hash of the
+        slot that may. It acts only for ill, tried and leaving servers and for cold ones past their budget."""
+        tried = {dial.server: None for dial in sess.dials}
+        bearable = self.bearable(now)
+
+        def usable(other):
+            return (other not in tried and self.roster.may_dial(now, other, False)
+                    and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
+
+        well = self.health.well(now, self.roster.servers)
+        if server is None or server not in well or not usable(server):
+            server = self.table.best(sess.slot, [other for other in well if usable(other)])
+        if server is None:
+            return self.before.back(now, sess, None)
+        sess.server = server
+        self.next.enter(now, sess)
+
+    def back(self, now, sess, outcome):
+        if outcome is not Outcome.CANCELLED and len(sess.dials) < self.most_dials and sess.deadline > now:
+            self.go(now, sess, None)
+        else:
+            self.before.back(now, sess, outcome)
+
+
+class Dialling(Stage):
+    """Sends one dial at a time, and judges how it ended."""
+
+    def __init__(self, actions, table, health, cold):
+        super().__init__()
+        self.actions = actions
+        self.table = table
+        self.health = health
+        self.cold = cold
+
+    def enter(self, now, sess):
+        sess.dials.append(Dial(sess.server, now))
+        self.cold.dialled(now, sess.server)
+        left = sess.deadline - now
+        # A silent server must not hold a session until its client gives up, and a slow shared
+        # store must not be asked twice: most of the time goes to the first dial, not all of it.
+        self.actions.dial(sess, sess.server, left * 0.6 if len(sess.dials) == 1 else left)
+
+    def accepted(self, now, sess):
+        sess.accepted = now
+        sess.server.sessions[sess] = None
+        self.table.accepted(now, sess)
+        self.health.dialled(now, sess.server, True)
+
+    def back(self, now, sess, outcome):
+        dial = sess.dials[-1]
+        dial.may_have_run = not outcome.never_ran
+        if outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.OVERDUE):
+            self.health.dialled(now, dial.server, False)
+        self.before.back(now, sess, outcome)
+
+
+def ran(sess):
+    return [dial for dial in sess.dials if dial.may_have_run]
+
+
+def may_redial(now, sess, server):
+    """Rule 2, for a session none of whose dials is out."""
+    listener = sess.listener
+    if listener.repeat is Repeat.REPEATABLE:
+        return True
+    if listener.repeat is Repeat.ONCE_ONLY:
+        return not ran(sess)
+    return all(now < dial.sent + listener.window and
+               (listener.scope == "all" or getattr(server, listener.scope) == getattr(dial.server, listener.scope))
+               for dial in ran(sess))
+
+
+def may_refuse(sess):
+    listener = sess.listener
+    return (listener.repeat is Repeat.REPEATABLE or not ran(sess)
+            or listener.repeat is Repeat.REFERENCED and listener.scope == "all")
+
+
+class Balancer:
+    """One proxy's decisions: wires the parts and hands them what happens."""
+
+    TICK = 1000.0
+    CONNECTION_LIFE = 10_000.0
+
+    def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
+                 start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait):
+        self.actions = actions
+        self.uniform = rng.uniform
+        self.zone = zone
+        self.may_probe = may_probe
+        self.proxies = proxies
+        self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
+                               keys_kept=4096, keys_age=60_000.0)
+        self.levels = LoadLevels(report_names, fresh=5 * self.TICK)
+        self.roster = Roster(actions, must_ask, drain_grace, rng.uniform)
+        self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
+        self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
+        admission = Admission(actions, longest_wait)
+        placement = Placement(self.table, self.roster, self.health, self.cold, self.bearable, most_dials)
+        self.dialling = Dialling(actions, self.table, self.health, self.cold)
+        self.first = admission
+        for earlier, later in ((admission, placement), (placement, self.dialling)):
+            earlier.next, later.before = later, earlier
+
+    def bearable(self, now):
+        """Connections of this proxy that a warm server bears at full load, as warm ones show."""
+        warm = [(len(server.sessions), self.levels.figure(now, server)) for server in self.roster.servers
+                if not self.cold.cold(now, server)]
+        shown = [(held, load) for held, load in warm if load and self.levels.source == "x0"]
+        if not shown:
+            return 10.0
+        return sum(held for held, _ in shown) / max(sum(load for _, load in shown), 0.05 * len(shown))
+
+    def on_start(self, now):
+        self.roster.ask(now)
+        # Proxies that start together would otherwise probe every server in the same instant.
+        self.actions.alarm("tick", now + self.uniform(0.1, 1.0) * self.TICK)
+
+    def on_list(self, now, kind, entries):
+        joined, left = self.roster.update(now, kind, entries)
+        if left:
+            self.table.leave(now, dict.fromkeys(left), self.roster.servers)
+        self.table.join(now, dict.fromkeys(joined), self.roster.servers)
+        for what, servers in (("joined", joined), ("left", left)):
+            if servers:
+                self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
+
+    def on_session(self, now, sess):
+        self.first.enter(now, sess)
+
+    def on_open_session(self, now, sess, server):
+        sess.slot = slot_of(sess.key, self.table.size)
+        sess.server = server
+        sess.dials.append(Dial(server, now))
+        self.dialling.accepted(now, sess)
+
+    def on_accepted(self, now, sess):
+        self.dialling.accepted(now, sess)
+
+    def on_outcome(self, now, sess, outcome, closed):
+        if sess.accepted is not None:
+            sess.server.sessions.pop(sess, None)
+            self.table.ended(sess)
+        if closed or sess.ended:
+            sess.ended = True
+        else:
+            self.dialling.back(now, sess, outcome)
+
+    def on_hang_up(self, now, sess):
+        sess.ended = True
+        self.forget(sess)
+
+    def forget(self, sess):
+        if sess.server is not None:
+            sess.server.sessions.pop(sess, None)
+        self.table.ended(sess)
+
+    def on_notice(self, now, sess, load=None, message_ms=None):
+        if load is not None:
+            sess.load = load
+
+    def on_probed(self, now, server, answered, report):
+        server.probed = None
+        if answered:
+            server.silent = 0
+            self.levels.sample(now, server, report)
+        else:
+            server.silent += 1
+
+    def on_peer(self, now, peer, message):
+        pass
+
+    def on_alarm(self, now, name):
+        if name == "follow":
+            self.roster.ask(now)
+        elif name == "tick":
+            self.tick(now)
+            self.actions.alarm("tick", now + self.TICK)
+        elif name.startswith("probe "):
+            self.probe(now, int(name[6:]))
+
+    def tick(self, now):
+        self.table.close(now)
+        levels = self.levels.levels(now, self.roster.servers)
+        shifted = self.table.halve(now, levels, self.CONNECTION_LIFE,
+                                   lambda server: not self.health.ill(now, server)
+                                   and not self.cold.cold(now, server))
+        if shifted:
+            self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
+        if self.may_probe:
+            for place in range(len(self.roster.servers)):
+                self.actions.alarm(f"probe {place}", now + self.TICK * (place + 0.5) / len(self.roster.servers))
+
+    def probe(self, now, place):
+        servers = list(self.roster.servers)
+        if place < len(servers) and servers[place].probed is None:
+            servers[place].probed = now
+            self.actions.probe(servers[place])
