--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -53,6 +53,9 @@
     d.say(f"table as before: {before == table.current}")
     d.list("a", "b", "c", kind=ListKind.FULL)
     d.shares()
+    d.say("one list with a leave and a join:")
+    d.list(("a", Phase.GONE), "f")
+    d.shares()
     return d.lines
 
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -78,12 +78,17 @@
         return min(servers, key=lambda server: server.scores[slot] / (server.weight * factor(server)),
                    default=None)
 
-    def join(self, now, joined, live):
-        """Give joiners the slots that the highest hash gives them, about the mean count, whatever
-        was shifted meanwhile: every proxy with the same list then arrives at the same slots."""
+    def update(self, now, joined, left, live):
+        # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
         for server in joined:
             if not server.scores:
                 server.scores = slot_scores(server.name, self.size)
+        self.leave(left, live)
+        self.join(now, joined, live)
+
+    def join(self, now, joined, live):
+        """Give joiners the slots that the highest hash gives them, about the mean count, whatever
+        was shifted meanwhile: every proxy with the same list then arrives at the same slots."""
         if not joined:
             return
         for slot in range(self.size):
@@ -91,7 +96,9 @@
             if server in joined and self.current[slot] is not server:
                 self.redirect(now, slot, server)
 
-    def leave(self, now, left, live):
+    def leave(self, left, live):
+        if not left:
+            return
         for slot in range(self.size):
             if self.new[slot] in left:
                 self.clear(slot)
@@ -188,8 +195,9 @@
 class Roster:
     """Follows the list of servers; tells who joined and who left."""
 
-    def __init__(self, actions, must_ask, drain_grace, uniform):
+    def __init__(self, actions, must_ask, drain_grace, sized, uniform):
         self.actions = actions
+        self.sized = sized
         self.must_ask = must_ask
         self.drain_grace = drain_grace
         self.uniform = uniform
@@ -222,7 +230,8 @@
             restarted = started is not None and server.started is not None and started > server.started
             if started is not None and server.started is None and server in self.servers:
                 restarted = True
-            server.weight = weight if weight and weight > 0 else 1.0
+            # Only a registered size is the same at every proxy; a live weight would tear tables apart.
+            server.weight = weight if self.sized and weight and weight > 0 else 1.0
             server.started = started
             if phase is Phase.READY:
                 if server not in self.servers or restarted:
@@ -463,7 +472,7 @@
     CONNECTION_LIFE = 10_000.0
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
-                 start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait):
+                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait):
         self.actions = actions
         self.uniform = rng.uniform
         self.zone = zone
@@ -472,7 +481,7 @@
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK)
-        self.roster = Roster(actions, must_ask, drain_grace, rng.uniform)
+        self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, longest_wait)
@@ -498,9 +507,7 @@
 
     def on_list(self, now, kind, entries):
         joined, left = self.roster.update(now, kind, entries)
-        if left:
-            self.table.leave(now, dict.fromkeys(left), self.roster.servers)
-        self.table.join(now, dict.fromkeys(joined), self.roster.servers)
+        self.table.update(now, dict.fromkeys(joined), dict.fromkeys(left), self.roster.servers)
         for what, servers in (("joined", joined), ("left", left)):
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
