--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -28,7 +28,9 @@
 class SlotTable:
     """Current and new table; which server a session's key leads to."""
 
-    def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age):
+    def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age,
+                 group_spread):
+        self.group_spread = group_spread
         self.choose = choose
         self.size = size
         self.least = least
@@ -43,6 +45,13 @@
         self.moved = {}         # key -> (server, when), oldest first
         self.exceptions = {}    # key -> (server, when), oldest first
 
+    def slot(self, sess):
+        """Exception: where connections of a group share work, a server pays for the group as soon as
+        it holds one of it. The key is then hashed within its group, whose members meet on few slots."""
+        if sess.group is None:
+            return slot_of(sess.key, self.size)
+        return slot_of(f"{sess.group} {slot_of(sess.key, self.group_spread)}", self.size)
+
     def place(self, now, key, slot):
         server = self.new[slot]
         if server is None:
@@ -376,7 +385,7 @@
         self.most_dials = most_dials
 
     def enter(self, now, sess):
-        sess.slot = slot_of(sess.key, self.table.size)
+        sess.slot = self.table.slot(sess)
         if sess.mid_flow:
             # The server keeps such a connection for a short time only: asked at once, ill or not.
             server = self.table.find(sess.key, sess.slot)
@@ -479,7 +488,7 @@
         self.may_probe = may_probe
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
-                               keys_kept=4096, keys_age=60_000.0)
+                               keys_kept=4096, keys_age=60_000.0, group_spread=2)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
@@ -516,7 +525,7 @@
         self.first.enter(now, sess)
 
     def on_open_session(self, now, sess, server):
-        sess.slot = slot_of(sess.key, self.table.size)
+        sess.slot = self.table.slot(sess)
         sess.server = server
         sess.dials.append(Dial(server, now))
         self.dialling.accepted(now, sess)
