--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -488,7 +488,7 @@
         self.may_probe = may_probe
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
-                               keys_kept=4096, keys_age=60_000.0, group_spread=2)
+                               keys_kept=4096, keys_age=60_000.0, group_spread=8)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
