--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -170,7 +170,8 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, fresh):
+    def __init__(self, names, fresh, full):
+        self.full = full
         self.names = names
         self.fresh = fresh
         # Load over capacity says most; a queue or a count of connections only orders the servers.
@@ -187,6 +188,10 @@
         recent = [figure for when, figure in server.samples if when > now - self.fresh]
         return fmean(recent) if recent else None
 
+    def overdriven(self, now, server):
+        figure = self.figure(now, server) if self.source == "x0" else None
+        return figure is not None and figure >= self.full
+
     def level(self, figure):
         return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
 
@@ -375,8 +380,9 @@
 class Placement(Stage):
     """Names the server: the table's for the first dial, the next hash in line for further ones."""
 
-    def __init__(self, table, roster, health, cold, bearable, most_dials):
+    def __init__(self, table, levels, roster, health, cold, bearable, most_dials):
         super().__init__()
+        self.levels = levels
         self.table = table
         self.roster = roster
         self.health = health
@@ -397,7 +403,8 @@
 
     def go(self, now, sess, server):
         """Exception: where the table's server may not be dialled, the next highest hash of the
-        slot that may. It acts only for ill, tried and leaving servers and for cold ones past their budget."""
+        slot that may. It acts only for ill, tried and leaving servers, for cold ones past their budget,
+        and for overdriven ones while less than half of the fleet is: halving comes too late for those."""
         tried = {dial.server: None for dial in sess.dials}
         bearable = self.bearable(now)
 
@@ -406,6 +413,9 @@
                     and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
 
         well = self.health.well(now, self.roster.servers)
+        roomy = [other for other in well if not self.levels.overdriven(now, other)]
+        if 2 * len(roomy) > len(well):
+            well = roomy
         if server is None or server not in well or not usable(server):
             server = self.table.best(sess.slot, [other for other in well if usable(other)])
         if server is None:
@@ -488,13 +498,13 @@
         self.may_probe = may_probe
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
-                               keys_kept=4096, keys_age=60_000.0, group_spread=8)
-        self.levels = LoadLevels(report_names, fresh=5 * self.TICK)
+                               keys_kept=4096, keys_age=60_000.0, group_spread=2)
+        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, full=0.9)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, longest_wait)
-        placement = Placement(self.table, self.roster, self.health, self.cold, self.bearable, most_dials)
+        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable, most_dials)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
         self.first = admission
         for earlier, later in ((admission, placement), (placement, self.dialling)):
