--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -66,7 +66,7 @@
     phase: Phase = Phase.READY
     told: float = 0.0                   # when this proxy heard that it drains or is gone
     scores: list = field(default_factory=list)      # by slot, lower wins
-    samples: deque = field(default_factory=lambda: deque(maxlen=4))     # (time, load figure)
+    samples: deque = field(default_factory=lambda: deque(maxlen=2))     # (time, load figure)
     probed: float | None = None         # when the probe that is out was sent
     silent: int = 0                     # probes without an answer since the last one answered
     results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
