--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -499,7 +499,7 @@
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0, group_spread=2)
-        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, full=0.9)
+        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
