--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -55,6 +55,8 @@
             sized=config.get("weightSource") in ("nominal", "rough"), drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
             cold_for=duties.get("coldS", 20.0) * 1000, cold_multiple=duties.get("tipMultiple", 1.0),
             cold_window=duties.get("tipAfterS", 1.0) * 1000, most_dials=limits.get("maxDials", 1),
+            crossing_price=config.get("prices", {}).get("crossZone", 0.0),
+            move_price=config.get("prices", {}).get("moves", 0.0),
             longest_wait=limits.get("maxRetryAfterS", 0.0) * 1000 if limits.get("retryAfter") else 0.0)
         self.balancer.on_start(now)
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -29,7 +29,9 @@
     """Current and new table; which server a session's key leads to."""
 
     def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age,
-                 group_spread):
+                 group_spread, zone, near):
+        self.zone = zone
+        self.near = near
         self.group_spread = group_spread
         self.choose = choose
         self.size = size
@@ -82,10 +84,11 @@
         if len(self.exceptions) < self.keys_kept:
             self.exceptions[sess.key] = (sess.server, now)
 
-    @staticmethod
-    def best(slot, servers, factor=lambda server: 1.0):
-        return min(servers, key=lambda server: server.scores[slot] / (server.weight * factor(server)),
-                   default=None)
+    def best(self, slot, servers, factor=lambda server: 1.0):
+        """Highest hash, weighted by registered size. Exception: where crossing to another zone has a
+        price, servers of the own zone weigh more; all proxies of a zone still fill their tables alike."""
+        return min(servers, default=None, key=lambda server: server.scores[slot] / (
+            server.weight * factor(server) * (self.near if server.zone == self.zone else 1.0)))
 
     def update(self, now, joined, left, live):
         # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
@@ -491,14 +494,15 @@
     CONNECTION_LIFE = 10_000.0
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
-                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait):
+                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait, crossing_price, move_price):
         self.actions = actions
         self.uniform = rng.uniform
         self.zone = zone
         self.may_probe = may_probe
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
-                               keys_kept=4096, keys_age=60_000.0, group_spread=2)
+                               keys_kept=4096, keys_age=60_000.0, group_spread=2,
+                               zone=zone, near=self.nearness(crossing_price, move_price))
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
@@ -510,6 +514,12 @@
         for earlier, later in ((admission, placement), (placement, self.dialling)):
             earlier.next, later.before = later, earlier
 
+    @staticmethod
+    def nearness(crossing_price, move_price):
+        """How much more an own-zone server weighs. Tables that differ by zone cost resets when a
+        connection's packets come to another zone, so it must pay well against moving clients."""
+        return min(8.0, max(1.0, crossing_price / (2 * move_price))) if move_price else 1.0
+
     def bearable(self, now):
         """Connections of this proxy that a warm server bears at full load, as warm ones show."""
         warm = [(len(server.sessions), self.levels.figure(now, server)) for server in self.roster.servers
