--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -70,7 +70,7 @@
     probed: float | None = None         # when the probe that is out was sent
     silent: int = 0                     # probes without an answer since the last one answered
     results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
-    dialled: deque = field(default_factory=lambda: deque(maxlen=64))    # when, while it is cold
+    dialled: deque = field(default_factory=lambda: deque(maxlen=128))   # when
     shift_after: float = 0.0
     move_after: float = 0.0
     sessions: dict = field(default_factory=dict)    # open here, in order of arrival
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -173,7 +173,8 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, fresh, full):
+    def __init__(self, names, fresh, late, full):
+        self.late = late
         self.full = full
         self.names = names
         self.fresh = fresh
@@ -191,9 +192,14 @@
         recent = [figure for when, figure in server.samples if when > now - self.fresh]
         return fmean(recent) if recent else None
 
-    def overdriven(self, now, server):
+    def expected(self, now, server, bearable):
+        """The probed load with what this proxy has dialled since; 0 when nothing is known. Without
+        it all sessions between two probes would crowd onto the server that looked best."""
         figure = self.figure(now, server) if self.source == "x0" else None
-        return figure is not None and figure >= self.full
+        if figure is None:
+            return 0.0
+        since = server.samples[-1][0] - self.late
+        return figure + sum(when > since for when in server.dialled) / bearable
 
     def level(self, figure):
         return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
@@ -340,8 +346,7 @@
         return not server.dialled or now - server.dialled[-1] >= gap
 
     def dialled(self, now, server):
-        if self.cold(now, server):
-            server.dialled.append(now)
+        server.dialled.append(now)
 
 
 class Stage:
@@ -407,7 +412,8 @@
     def go(self, now, sess, server):
         """Exception: where the table's server may not be dialled, the next highest hash of the
         slot that may. It acts only for ill, tried and leaving servers, for cold ones past their budget,
-        and for overdriven ones while less than half of the fleet is: halving comes too late for those."""
+        and for overdriven ones: halving comes too late for those. When every server that may be dialled
+        is past its capacity the session is refused: one more would end in resets for those placed."""
         tried = {dial.server: None for dial in sess.dials}
         bearable = self.bearable(now)
 
@@ -416,11 +422,12 @@
                     and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
 
         well = self.health.well(now, self.roster.servers)
-        roomy = [other for other in well if not self.levels.overdriven(now, other)]
-        if 2 * len(roomy) > len(well):
-            well = roomy
-        if server is None or server not in well or not usable(server):
-            server = self.table.best(sess.slot, [other for other in well if usable(other)])
+        loads = {other: self.levels.expected(now, other, bearable) for other in well}
+        roomy = [other for other in well if loads[other] < self.levels.full]
+        if not roomy:
+            roomy = well
+        if server is None or server not in roomy or not usable(server):
+            server = self.table.best(sess.slot, [other for other in roomy if usable(other)])
         if server is None:
             return self.before.back(now, sess, None)
         sess.server = server
@@ -503,7 +510,7 @@
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0, group_spread=2,
                                zone=zone, near=self.nearness(crossing_price, move_price))
-        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, full=0.8)
+        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
@@ -527,7 +534,7 @@
         shown = [(held, load) for held, load in warm if load and self.levels.source == "x0"]
         if not shown:
             return 10.0
-        return sum(held for held, _ in shown) / max(sum(load for _, load in shown), 0.05 * len(shown))
+        return max(1.0, sum(held for held, _ in shown) / max(sum(load for _, load in shown), 0.05 * len(shown)))
 
     def on_start(self, now):
         self.roster.ask(now)
