--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import math
+from collections import deque
 from statistics import fmean, median
 
 from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
@@ -293,12 +294,14 @@
 class Health:
     """Who answers, judged by the last few dials and probes of this proxy alone."""
 
-    def __init__(self, may_probe, rest, memory):
-        self.may_probe = may_probe
+    def __init__(self, rest, memory, shared_memory):
+        self.dials = deque(maxlen=16)
+        self.shared_memory = shared_memory
         self.rest = rest
         self.memory = memory
 
     def dialled(self, now, server, well):
+        self.dials.append((now, server, well))
         server.results.append((now, well))
 
     def silent(self, server):
@@ -309,6 +312,13 @@
         bad = [when for when, well in recent if not well]
         return len(bad) >= 2 and 3 * len(bad) >= len(recent) and now - bad[-1] < self.rest
 
+    def shared_trouble(self, now):
+        """Set-ups fail at many servers at once: what they all depend on is swamped, and dialling on
+        would swamp it more."""
+        recent = [(server, well) for when, server, well in self.dials if when > now - self.shared_memory]
+        bad = dict.fromkeys(server for server, well in recent if not well)
+        return len(bad) >= 3 and 2 * sum(not well for _, well in recent) >= len(recent)
+
     def ill(self, now, server):
         return self.silent(server) or self.failing(now, server)
 
@@ -412,8 +422,7 @@
     def go(self, now, sess, server):
         """Exception: where the table's server may not be dialled, the next highest hash of the
         slot that may. It acts only for ill, tried and leaving servers, for cold ones past their budget,
-        and for overdriven ones: halving comes too late for those. When every server that may be dialled
-        is past its capacity the session is refused: one more would end in resets for those placed."""
+        and for overdriven ones: halving comes too late for those."""
         tried = {dial.server: None for dial in sess.dials}
         bearable = self.bearable(now)
 
@@ -421,20 +430,20 @@
             return (other not in tried and self.roster.may_dial(now, other, False)
                     and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
 
-        well = self.health.well(now, self.roster.servers)
-        loads = {other: self.levels.expected(now, other, bearable) for other in well}
-        roomy = [other for other in well if loads[other] < self.levels.full]
-        if not roomy:
-            roomy = well
-        if server is None or server not in roomy or not usable(server):
-            server = self.table.best(sess.slot, [other for other in roomy if usable(other)])
+        well = [other for other in self.health.well(now, self.roster.servers) if usable(other)]
+        roomy = [other for other in well if self.levels.expected(now, other, bearable) < self.levels.full]
+        # With no room anywhere the table decides again: refusing brought clients back at once.
+        well = roomy or well
+        if server not in well:
+            server = self.table.best(sess.slot, well)
         if server is None:
             return self.before.back(now, sess, None)
         sess.server = server
         self.next.enter(now, sess)
 
     def back(self, now, sess, outcome):
-        if outcome is not Outcome.CANCELLED and len(sess.dials) < self.most_dials and sess.deadline > now:
+        on = outcome is Outcome.CONNECT_FAILED or not self.health.shared_trouble(now)
+        if on and outcome is not Outcome.CANCELLED and len(sess.dials) < self.most_dials and sess.deadline > now:
             self.go(now, sess, None)
         else:
             self.before.back(now, sess, outcome)
@@ -512,7 +521,7 @@
                                zone=zone, near=self.nearness(crossing_price, move_price))
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
-        self.health = Health(may_probe, rest=3000.0, memory=10_000.0)
+        self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, longest_wait)
         placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable, most_dials)
