--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -422,7 +422,8 @@
     def go(self, now, sess, server):
         """Exception: where the table's server may not be dialled, the next highest hash of the
         slot that may. It acts only for ill, tried and leaving servers, for cold ones past their budget,
-        and for overdriven ones: halving comes too late for those."""
+        and for overdriven ones: halving comes too late for those. With no server left the session is
+        refused: past that load messages are late, so one more costs those placed more than it gains."""
         tried = {dial.server: None for dial in sess.dials}
         bearable = self.bearable(now)
 
@@ -430,12 +431,10 @@
             return (other not in tried and self.roster.may_dial(now, other, False)
                     and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
 
-        well = [other for other in self.health.well(now, self.roster.servers) if usable(other)]
-        roomy = [other for other in well if self.levels.expected(now, other, bearable) < self.levels.full]
-        # With no room anywhere the table decides again: refusing brought clients back at once.
-        well = roomy or well
-        if server not in well:
-            server = self.table.best(sess.slot, well)
+        open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
+                   and self.levels.expected(now, other, bearable) < self.levels.full]
+        if server not in open_to:
+            server = self.table.best(sess.slot, open_to)
         if server is None:
             return self.before.back(now, sess, None)
         sess.server = server
