--- a/tests/drive.py
+++ b/tests/drive.py
@@ -82,7 +82,8 @@
 
     def accept(self, name, **more):
         sess = self.session(name, **more)
-        self.balancer.on_accepted(self.now, sess)
+        if not sess.ended:
+            self.balancer.on_accepted(self.now, sess)
         return sess
 
     def outcome(self, sess, outcome, closed=False):
