--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -624,23 +624,28 @@
                 self.actions.alarm(f"probe {place}", now + self.TICK * (place + 0.5) / len(self.roster.servers))
 
     def relieve(self, now):
-        """Exception: polite moves off an overdriven server, while most of the fleet has room. Shifted slots
-        only help sessions to come, and connections outlive the trouble. Whole slots go, so that a
-        group is not spread; half the excess at a time, since reports lag behind the moves."""
-        servers = [server for server in self.roster.servers if not self.health.silent(server)]
-        loads = {server: self.levels.figure(now, server) for server in servers}
-        if self.levels.source != "x0" or not servers:
+        """Exception: polite moves off an overdriven server. Shifted slots only help sessions to come, and
+        connections outlive the trouble. They act from the load at which messages are late while other
+        servers have room, and from full capacity in any case: past it nobody there is served, and those
+        who must wait outside cost less. Whole slots go, so that a group is not spread; half the excess
+        at a time, since reports lag behind the moves."""
+        full = self.levels.full
+        loads = {server: self.levels.figure(now, server) for server in self.roster.servers
+                 if not self.health.silent(server)}
+        if self.levels.source != "x0":
             return
-        spare = median(load or 0.0 for load in loads.values())
+        loads = {server: load for server, load in loads.items() if load is not None}
+        room = sum(full - load for load in loads.values()) > 0
         for server, load in loads.items():
-            if load is None or load < self.levels.full or spare > 0.75 * self.levels.full or now < server.move_after:
+            if load < (full if room else 1.0) or now < server.move_after:
                 continue
-            count = int(len(server.sessions) * (1 - 0.75 * self.levels.full / load) / 2)
-            for sess in sorted(server.sessions, key=lambda sess: server.scores[sess.slot])[-count:] if count else []:
+            count = math.ceil(len(server.sessions) * (1 - (0.75 if room else 1.0) * full / load) / 2)
+            moving = sorted(server.sessions, key=lambda sess: server.scores[sess.slot])[-count:] if count else []
+            for sess in moving:
                 self.actions.move(sess)
-            if count:
+            if moving:
                 server.move_after = now + 2 * self.TICK
-                self.actions.log(f"move: {count} connections off a server at {load:.1f} of its capacity")
+                self.actions.log(f"move: {len(moving)} connections off a server at {load:.1f} of its capacity")
 
     def probe(self, now, place):
         servers = list(self.roster.servers)
