--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -349,9 +349,9 @@
         if not self.cold(now, server):
             return True
         ready = self.start_share + (1 - self.start_share) * max(0.0, now - server.started) / self.cold_for
-        # A server fills over its warm-up at the fastest; half the budget is left for repeats,
+        # A server fills over its warm-up at the fastest; a quarter of the budget is left for repeats,
         # probes and handshakes, and for what other proxies send when they know less.
-        rate = bearable / self.cold_for * ready * self.multiple / 2
+        rate = 0.75 * bearable / self.cold_for * ready * self.multiple
         gap = max(self.window / 16, min(1 / max(rate, 1e-9), self.proxies * self.window))
         return not server.dialled or now - server.dialled[-1] >= gap
 
