--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -507,6 +507,7 @@
 
     TICK = 1000.0
     CONNECTION_LIFE = 10_000.0
+    CALM = 2
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
                  sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait, crossing_price, move_price):
@@ -514,6 +515,7 @@
         self.uniform = rng.uniform
         self.zone = zone
         self.may_probe = may_probe
+        self.ticks = 0
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0, group_spread=2,
@@ -619,9 +621,13 @@
         if shifted:
             self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
         self.relieve(now)
-        if self.may_probe:
-            for place in range(len(self.roster.servers)):
-                self.actions.alarm(f"probe {place}", now + self.TICK * (place + 0.5) / len(self.roster.servers))
+        self.ticks += 1
+        servers = list(self.roster.servers) if self.may_probe else []
+        for place, server in enumerate(servers):
+            # Probes cost work and points: a server far from full is asked on every other tick.
+            figure = self.levels.figure(now, server)
+            if (place + self.ticks) % self.CALM == 0 or figure is None or figure > self.levels.full / 2:
+                self.actions.alarm(f"probe {place}", now + self.TICK * (place + 0.5) / len(servers))
 
     def relieve(self, now):
         """Exception: polite moves off an overdriven server. Shifted slots only help sessions to come, and
