--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -369,25 +369,52 @@
     def enter(self, now, sess):
         self.next.enter(now, sess)
 
+    def accepted(self, now, sess):
+        self.before.accepted(now, sess)
+
     def back(self, now, sess, outcome):
         self.before.back(now, sess, outcome)
 
 
 class Admission(Stage):
-    """Takes a session in, and gives its final answer when no later stage could."""
+    """Takes a session in, and gives its final answer when no later stage could.
+
+    Exception: while set-ups fail at many servers, only so many may be under way at once, halved as
+    they fail and growing as they succeed. Clients that return together would otherwise swamp what
+    all set-ups depend on, and keep it swamped by coming again.
+    """
 
-    def __init__(self, actions, longest_wait):
+    def __init__(self, actions, health, longest_wait, most_set_ups, cut_wait):
         super().__init__()
         self.actions = actions
+        self.health = health
         self.longest_wait = longest_wait
+        self.most_set_ups = most_set_ups
+        self.cut_wait = cut_wait
+        self.window = float(most_set_ups)
+        self.cut_at = -math.inf
+        self.under_way = {}
 
     def enter(self, now, sess):
-        if sess.deadline <= now:
-            self.back(now, sess, None)
-        else:
-            self.next.enter(now, sess)
+        if sess.deadline <= now or not sess.mid_flow and len(self.under_way) >= self.window:
+            return self.back(now, sess, None)
+        self.under_way[sess] = None
+        self.next.enter(now, sess)
+
+    def accepted(self, now, sess):
+        self.under_way.pop(sess, None)
+        self.window = min(self.most_set_ups, self.window + 1 / self.window)
+
+    def failed(self, now):
+        if self.health.shared_trouble(now) and now >= self.cut_at + self.cut_wait:
+            self.window = max(1.0, min(self.window, len(self.under_way)) / 2)
+            self.cut_at = now
+            self.actions.log(f"store: at most {self.window:.0f} set-ups at once")
 
     def back(self, now, sess, outcome):
+        self.under_way.pop(sess, None)
+        if outcome in (Outcome.ERROR, Outcome.OVERDUE):
+            self.failed(now)
         sess.ended = True
         if may_refuse(sess):
             self.actions.refuse(sess, min(self.longest_wait, sess.listener.handshake_target))
@@ -467,6 +494,7 @@
         self.actions.dial(sess, sess.server, left * 0.6 if len(sess.dials) == 1 else left)
 
     def accepted(self, now, sess):
+        self.before.accepted(now, sess)
         sess.accepted = now
         sess.server.sessions[sess] = None
         self.table.accepted(now, sess)
@@ -524,7 +552,7 @@
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
-        admission = Admission(actions, longest_wait)
+        admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0)
         placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable, most_dials)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
         self.first = admission
@@ -576,11 +604,13 @@
             self.table.ended(sess)
         if closed or sess.ended:
             sess.ended = True
+            self.first.under_way.pop(sess, None)
         else:
             self.dialling.back(now, sess, outcome)
 
     def on_hang_up(self, now, sess):
         sess.ended = True
+        self.first.under_way.pop(sess, None)
         self.forget(sess)
 
     def forget(self, sess):
