--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -74,6 +74,7 @@
     shift_after: float = 0.0
     move_after: float = 0.0
     sessions: dict = field(default_factory=dict)    # open here, in order of arrival
+    groups: dict = field(default_factory=dict)      # how many of a group are open here
 
 
 @dataclass(eq=False)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -30,10 +30,9 @@
     """Current and new table; which server a session's key leads to."""
 
     def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age,
-                 group_spread, zone, near):
+                 zone, near):
         self.zone = zone
         self.near = near
-        self.group_spread = group_spread
         self.choose = choose
         self.size = size
         self.least = least
@@ -50,10 +49,8 @@
 
     def slot(self, sess):
         """Exception: where connections of a group share work, a server pays for the group as soon as
-        it holds one of it. The key is then hashed within its group, whose members meet on few slots."""
-        if sess.group is None:
-            return slot_of(sess.key, self.size)
-        return slot_of(f"{sess.group} {slot_of(sess.key, self.group_spread)}", self.size)
+        it holds one of it. The group's name is then hashed in place of the key, so that it meets."""
+        return slot_of(sess.key if sess.group is None else sess.group, self.size)
 
     def place(self, now, key, slot):
         server = self.new[slot]
@@ -461,7 +458,8 @@
         open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
                    and self.levels.expected(now, other, bearable) < self.levels.full]
         if server not in open_to:
-            server = self.table.best(sess.slot, open_to)
+            holding = [other for other in open_to if sess.group is not None and sess.group in other.groups]
+            server = self.table.best(sess.slot, holding or open_to)
         if server is None:
             return self.before.back(now, sess, None)
         sess.server = server
@@ -497,6 +495,7 @@
         self.before.accepted(now, sess)
         sess.accepted = now
         sess.server.sessions[sess] = None
+        sess.server.groups[sess.group] = sess.server.groups.get(sess.group, 0) + 1
         self.table.accepted(now, sess)
         self.health.dialled(now, sess.server, True)
 
@@ -546,7 +545,7 @@
         self.ticks = 0
         self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
-                               keys_kept=4096, keys_age=60_000.0, group_spread=2,
+                               keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price))
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
@@ -599,9 +598,7 @@
         self.dialling.accepted(now, sess)
 
     def on_outcome(self, now, sess, outcome, closed):
-        if sess.accepted is not None:
-            sess.server.sessions.pop(sess, None)
-            self.table.ended(sess)
+        self.forget(sess)
         if closed or sess.ended:
             sess.ended = True
             self.first.under_way.pop(sess, None)
@@ -614,9 +611,12 @@
         self.forget(sess)
 
     def forget(self, sess):
-        if sess.server is not None:
-            sess.server.sessions.pop(sess, None)
-        self.table.ended(sess)
+        if sess.server is not None and sess in sess.server.sessions:
+            del sess.server.sessions[sess]
+            self.table.ended(sess)
+            sess.server.groups[sess.group] -= 1
+            if not sess.server.groups[sess.group]:
+                del sess.server.groups[sess.group]
 
     def on_notice(self, now, sess, load=None, message_ms=None):
         if load is not None:
