--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -381,16 +381,23 @@
     all set-ups depend on, and keep it swamped by coming again.
     """
 
-    def __init__(self, actions, health, longest_wait, most_set_ups, cut_wait):
+    def __init__(self, actions, health, longest_wait, most_set_ups, cut_wait, memory):
         super().__init__()
         self.actions = actions
         self.health = health
         self.longest_wait = longest_wait
         self.most_set_ups = most_set_ups
         self.cut_wait = cut_wait
+        self.memory = memory
         self.window = float(most_set_ups)
         self.cut_at = -math.inf
         self.under_way = {}
+        self.set_ups = deque(maxlen=8)      # (when, time taken over handshake target)
+
+    def slow(self, now):
+        """The last set-ups took longer than their handshake target, wherever they went."""
+        recent = [share for when, share in self.set_ups if when > now - self.memory]
+        return len(recent) >= 4 and median(recent) > 1.0
 
     def enter(self, now, sess):
         if sess.deadline <= now or not sess.mid_flow and len(self.under_way) >= self.window:
@@ -400,10 +407,14 @@
 
     def accepted(self, now, sess):
         self.under_way.pop(sess, None)
-        self.window = min(self.most_set_ups, self.window + 1 / self.window)
+        self.set_ups.append((now, (now - sess.dials[-1].sent) / sess.listener.handshake_target))
+        if self.slow(now):
+            self.failed(now)
+        else:
+            self.window = min(self.most_set_ups, self.window + 1 / self.window)
 
     def failed(self, now):
-        if self.health.shared_trouble(now) and now >= self.cut_at + self.cut_wait:
+        if (self.slow(now) or self.health.shared_trouble(now)) and now >= self.cut_at + self.cut_wait:
             self.window = max(1.0, min(self.window, len(self.under_way)) / 2)
             self.cut_at = now
             self.actions.log(f"store: at most {self.window:.0f} set-ups at once")
@@ -551,7 +562,8 @@
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
-        admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0)
+        admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
+                              memory=5000.0)
         placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable, most_dials)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
         self.first = admission
