A restarted proxy no longer takes one connection for a whole server; fallbacks and tests completed

Found by the new trace of a group: with none held on loaded servers, what a server bears came out as 1.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -13,9 +13,10 @@
 from wheathill.policy import Balancer
 
 TRACES = pathlib.Path(__file__).parent / "traces"
-USUAL = dict(zone=0, proxies=2, report_names=["x0"], may_probe=True, must_ask=False, drain_grace=500.0, sized=True,
-             start_share=0.2, cold_for=10_000.0, cold_multiple=3.0, cold_window=1000.0, most_dials=3,
-             longest_wait=1000.0, crossing_price=0.0, move_price=0.0)
+USUAL = dict(zone=0, proxies=2, report_names=["x0"], may_probe=True, must_ask=False,
+             drain_grace=500.0, sized=True, start_share=0.2, cold_for=10_000.0,
+             cold_multiple=3.0, cold_window=1000.0, most_dials=3, longest_wait=1000.0,
+             crossing_price=0.0, move_price=0.0)
 
 
 class Drive:
@@ -64,12 +65,11 @@
         self.say(f"log: {text}")
 
     def list(self, *entries, kind=ListKind.CHANGES):
-        """Entries are name, or (name, phase), or (name, phase, started)."""
+        """Entries are a name, or (name, phase), or (name, when it started)."""
         found = []
         for entry in entries:
-            name, phase, started = (*(entry if isinstance(entry, tuple) else (entry,)), Phase.READY, None)[:3]
-            if not isinstance(phase, Phase):
-                phase, started = Phase.READY, phase
+            name, what = entry if isinstance(entry, tuple) else (entry, Phase.READY)
+            phase, started = (what, None) if isinstance(what, Phase) else (Phase.READY, what)
             server = self.servers.setdefault(name, Server(name, zone=len(self.servers) % 2))
             found.append((server, phase, 1.0, started))
         self.balancer.on_list(self.now, kind, found)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 from drive import Drive, kept
 
 from wheathill.drill.__main__ import main
-from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat
+from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat, Session
 
 FLEET = ("a", "b", "c", "d")
 
@@ -61,14 +61,22 @@
 
 def drain():
     d = Drive()
-    d.list("a", "b", kind=ListKind.CACHED)
+    d.list("a", "b", "c", kind=ListKind.CACHED)
     held = next(s for s in map(d.accept, "0123456789") if s.server is d.servers["a"])
     d.list(("a", Phase.DRAINING))
     d.loud = False
     later = [d.session(f"later {i}") for i in range(50)]
     d.loud = True
     d.say(f"new sessions to a draining server: {sum(s.server is d.servers['a'] for s in later)}")
+    table = d.balancer.table
+    table.exceptions[held.key] = (d.servers["a"], d.now)
+    d.session("mid-flow at once", key=held.key, mid_flow=True)
+    d.now += 600.0
+    d.session("mid-flow after the grace", key=held.key, mid_flow=True)
+    table.new[table.current.index(d.servers["c"])] = d.servers["b"]
     d.list(("b", Phase.GONE))
+    d.say(f"new entries of who left: {table.new.count(d.servers['b'])}")
+    d.list(("c", Phase.GONE))
     d.session("nobody left")
     return d.lines
 
@@ -76,7 +84,7 @@
 def repeats():
     d = Drive(most_dials=6)
     d.list(*FLEET, kind=ListKind.CACHED)
-    for listener in (Listener("repeatable"), Listener("once-only", Repeat.ONCE_ONLY),
+    for listener in (Listener("repeatable"), Listener("once-only", Repeat.ONCE_ONLY, "all", 500.0),
                      Listener("referenced, all", Repeat.REFERENCED, "all", 500.0),
                      Listener("referenced, zone", Repeat.REFERENCED, "zone", 500.0)):
         for outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR):
@@ -85,6 +93,11 @@
             while not sess.ended:
                 d.now += 200.0
                 d.outcome(sess, outcome)
+    d.say("after the window:")
+    d.now += 60_000.0
+    sess = d.session("late", Listener("referenced, all", Repeat.REFERENCED, "all", 500.0))
+    d.now += 600.0
+    d.outcome(sess, Outcome.OVERDUE)
     return d.lines
 
 
@@ -141,6 +154,36 @@
     return d.lines
 
 
+def without_probes():
+    d = Drive(may_probe=False, report_names=[])
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.loud = False
+    held = [d.accept(f"s{i}") for i in range(80)]
+    for sess in held:
+        if sess.server is not d.servers["a"]:
+            d.outcome(sess, Outcome.COMPLETED, closed=True)
+    d.loud = True
+    d.until(2500.0)
+    d.shares()
+    d.say(f"probes: {d.probes}")
+    return d.lines
+
+
+def groups_meet():
+    d = Drive(loads=dict.fromkeys(FLEET, 0.4))
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.until(1500.0)
+    for i in range(2):
+        d.accept(f"s{i}", group="line 7")
+    full = next(iter(d.names)).server
+    d.loads = {name: 0.9 if name == full.name else 0.4 for name in FLEET}
+    d.until(4500.0)
+    d.balancer.on_open_session(d.now, Session(Listener("any"), "open", d.now, group="line 7"), d.servers["c"])
+    for i in range(2, 4):
+        d.accept(f"s{i}", group="line 7")
+    return d.lines
+
+
 def store_swamped():
     d = Drive(most_dials=6)
     d.list(*FLEET, "e", "f", kind=ListKind.CACHED)
@@ -181,7 +224,8 @@
 
 
 SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
-                                           cold_start, overload, store_swamped, list_out_of_reach, odd_input)}
+                                           cold_start, overload, without_probes, groups_meet,
+                                           store_swamped, list_out_of_reach, odd_input)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
@@ -197,6 +241,8 @@
     ("[]", "line 2: not a batch with a clock and events"),
     ([["surprise", "p/0"]], "line 2: unknown event 'surprise'"),
     ([["hangup", "p/0"]], "line 2: hangup takes 1 values after the instance, not 0"),
+    ([["rosterChange", "p/0", 1, 1, [[1]]]],
+     "line 2: rosterChange takes a known scope and entries of 7 values"),
     ([["hangup", "p/1", "x"]], "line 2: hangup for instance 'p/1', which was never started"),
 ])
 def test_malformed_line(events, said, capsys):
--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -17,7 +17,7 @@
 OUTCOMES = {"completed": Outcome.COMPLETED, "errored": Outcome.ERROR, "saturated": Outcome.FULL,
             "overdue": Outcome.OVERDUE, "refused_conn": Outcome.CONNECT_FAILED, "severed": Outcome.RESET,
             "recalled": Outcome.CANCELLED, "superseded": Outcome.NEVER_SENT}
-REPORT_NAMES = {"waiting": "queue"}
+REPORT_NAMES = {"waiting": "queue", "cpu": "util"}
 HINTED, RETURNING, MID_FLOW = 1, 16, 8
 LOAD_NOTICE, SLOW_NOTICE = 1, 2
 
@@ -47,12 +47,14 @@
                      dial_timeout=item.get("dialTimeoutS", 2.0) * 1000, utility=item.get("utility", 1.0))
             for item in config.get("listeners", [])]
         report = config.get("report", {})
-        names = [] if report.get("how", "off") == "off" else report.get("names", [])
+        reported = {"inline": True, "on_probe": limits.get("mayProbe", False)}
+        names = report.get("names", []) if reported.get(report.get("how")) else []
         self.balancer = Balancer(
             self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers", 1)),
             report_names=[REPORT_NAMES.get(name, name) for name in names],
             may_probe=limits.get("mayProbe", False), must_ask=config.get("membershipMode") == "subscribe",
-            sized=config.get("weightSource") in ("nominal", "rough"), drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
+            sized=config.get("weightSource") in ("nominal", "rough"),
+            drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
             cold_for=duties.get("coldS", 20.0) * 1000, cold_multiple=duties.get("tipMultiple", 1.0),
             cold_window=duties.get("tipAfterS", 1.0) * 1000, most_dials=limits.get("maxDials", 1),
             crossing_price=config.get("prices", {}).get("crossZone", 0.0),
@@ -61,21 +63,26 @@
         self.balancer.on_start(now)
 
     def list_changed(self, now, scope, _version, lines):
+        lines = lines or []
+        if scope not in LIST_KINDS or any(not isinstance(line, list) or len(line) != 7 for line in lines):
+            raise Malformed("rosterChange takes a known scope and entries of 7 values")
         entries = []
-        for weight, zone, name, cell, started, _machine, phase in lines or []:
+        for weight, zone, name, cell, started, _machine, phase in lines:
             server = self.servers.get(name)
             if server is None:
                 server = self.servers[name] = Server(name)
             server.zone, server.cell = zone, cell
-            entries.append((server, PHASES.get(phase, Phase.GONE), weight, started * 1000 if started else None))
+            since = started * 1000 if started else None
+            entries.append((server, PHASES.get(phase, Phase.GONE), weight, since))
         self.balancer.on_list(now, LIST_KINDS[scope], entries)
 
     def make_session(self, now, handle, listener, tenant, key, left, load, group, marks):
         known = listener is not None and 0 <= listener < len(self.listeners)
+        marks = marks or 0
         sess = Session(listener=self.listeners[listener] if known else Listener("", Repeat.ONCE_ONLY),
-                       key=key or handle, deadline=now + (left or 0.0) * 1000, tenant=tenant or 0, group=group,
-                       load=load if (marks or 0) & HINTED else None, mid_flow=bool((marks or 0) & MID_FLOW),
-                       returning=bool((marks or 0) & RETURNING))
+                       key=key or handle, deadline=now + (left or 0.0) * 1000, tenant=tenant or 0,
+                       group=group, load=load if marks & HINTED else None,
+                       mid_flow=bool(marks & MID_FLOW), returning=bool(marks & RETURNING))
         self.sessions[handle] = sess
         self.handles[sess] = handle
         return sess
@@ -91,7 +98,9 @@
         if handle in self.sessions:
             self.balancer.on_accepted(now, self.sessions[handle])
 
-    def outcome(self, now, handle, _dial, _server, code, _spent, closed, report):
+    def outcome(self, now, handle, _dial, name, code, _spent, closed, report):
+        if report and name in self.servers:
+            self.balancer.on_report(now, self.servers[name], report)
         sess = self.sessions.get(handle)
         if sess is not None:
             if closed:
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -177,7 +177,8 @@
         self.names = names
         self.fresh = fresh
         # Load over capacity says most; a queue or a count of connections only orders the servers.
-        self.source = next((name for name in ("x0", "queue") if name in names), None)
+        self.source = next((name for name in ("x0", "util", "queue") if name in names), None)
+        self.of_capacity = self.source in ("x0", "util")
         self.base = 1.0 if self.source == "queue" else 0.25
 
     def sample(self, now, server, report):
@@ -193,7 +194,7 @@
     def expected(self, now, server, bearable):
         """The probed load with what this proxy has dialled since; 0 when nothing is known. Without
         it all sessions between two probes would crowd onto the server that looked best."""
-        figure = self.figure(now, server) if self.source == "x0" else None
+        figure = self.figure(now, server) if self.of_capacity else None
         if figure is None:
             return 0.0
         since = server.samples[-1][0] - self.late
@@ -446,9 +447,11 @@
     def enter(self, now, sess):
         sess.slot = self.table.slot(sess)
         if sess.mid_flow:
-            # The server keeps such a connection for a short time only: asked at once, ill or not.
+            # The server keeps such a connection for a short time only: asked at once, ill or not. Only
+            # a cold one keeps its budget: where the guess is wrong the connection is set up anew there.
             server = self.table.find(sess.key, sess.slot)
-            if server is not None and self.roster.may_dial(now, server, True):
+            if server is not None and self.roster.may_dial(now, server, True) \
+                    and self.cold.allows(now, server, self.bearable(now)):
                 sess.server = server
                 return self.next.enter(now, sess)
         server = self.table.place(now, sess.key, sess.slot)
@@ -477,8 +480,9 @@
         self.next.enter(now, sess)
 
     def back(self, now, sess, outcome):
-        on = outcome is Outcome.CONNECT_FAILED or not self.health.shared_trouble(now)
-        if on and outcome is not Outcome.CANCELLED and len(sess.dials) < self.most_dials and sess.deadline > now:
+        sensible = outcome is Outcome.CONNECT_FAILED or not self.health.shared_trouble(now)
+        possible = len(sess.dials) < self.most_dials and sess.deadline > now
+        if sensible and possible and outcome is not Outcome.CANCELLED:
             self.go(now, sess, None)
         else:
             self.before.back(now, sess, outcome)
@@ -529,9 +533,12 @@
         return True
     if listener.repeat is Repeat.ONCE_ONLY:
         return not ran(sess)
-    return all(now < dial.sent + listener.window and
-               (listener.scope == "all" or getattr(server, listener.scope) == getattr(dial.server, listener.scope))
-               for dial in ran(sess))
+
+    def drops_repeats_of(dial):
+        scope = listener.scope
+        return scope == "all" or getattr(server, scope) == getattr(dial.server, scope)
+
+    return all(now < dial.sent + listener.window and drops_repeats_of(dial) for dial in ran(sess))
 
 
 def may_refuse(sess):
@@ -548,13 +555,12 @@
     CALM = 2
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
-                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait, crossing_price, move_price):
+                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait,
+                 crossing_price, move_price):
         self.actions = actions
         self.uniform = rng.uniform
-        self.zone = zone
         self.may_probe = may_probe
         self.ticks = 0
-        self.proxies = proxies
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price))
@@ -564,7 +570,8 @@
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
                               memory=5000.0)
-        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable, most_dials)
+        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable,
+                              most_dials)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
         self.first = admission
         for earlier, later in ((admission, placement), (placement, self.dialling)):
@@ -580,10 +587,13 @@
         """Connections of this proxy that a warm server bears at full load, as warm ones show."""
         warm = [(len(server.sessions), self.levels.figure(now, server)) for server in self.roster.servers
                 if not self.cold.cold(now, server)]
-        shown = [(held, load) for held, load in warm if load and self.levels.source == "x0"]
+        shown = [(held, load) for held, load in warm if load and self.levels.of_capacity]
         if not shown:
             return 10.0
-        return max(1.0, sum(held for held, _ in shown) / max(sum(load for _, load in shown), 0.05 * len(shown)))
+        load = max(sum(load for _, load in shown), 0.05 * len(shown))
+        # A proxy that has just started holds nothing yet on servers that others have loaded: without a
+        # floor it took each of its connections for a whole server and refused nearly all.
+        return max(5.0, sum(held for held, _ in shown) / load)
 
     def on_start(self, now):
         self.roster.ask(now)
@@ -642,6 +652,9 @@
         else:
             server.silent += 1
 
+    def on_report(self, now, server, report):
+        self.levels.sample(now, server, report)
+
     def on_peer(self, now, peer, message):
         pass
 
@@ -679,21 +692,19 @@
         at a time, since reports lag behind the moves."""
         full = self.levels.full
         loads = {server: self.levels.figure(now, server) for server in self.roster.servers
-                 if not self.health.silent(server)}
-        if self.levels.source != "x0":
-            return
+                 if self.levels.of_capacity and not self.health.silent(server)}
         loads = {server: load for server, load in loads.items() if load is not None}
         room = sum(full - load for load in loads.values()) > 0
         for server, load in loads.items():
             if load < (full if room else 1.0) or now < server.move_after:
                 continue
             count = math.ceil(len(server.sessions) * (1 - (0.75 if room else 1.0) * full / load) / 2)
-            moving = sorted(server.sessions, key=lambda sess: server.scores[sess.slot])[-count:] if count else []
-            for sess in moving:
+            by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
+            for sess in by_score[:count]:
                 self.actions.move(sess)
-            if moving:
+            if count:
                 server.move_after = now + 2 * self.TICK
-                self.actions.log(f"move: {len(moving)} connections off a server at {load:.1f} of its capacity")
+                self.actions.log(f"move: {count} connections off a server at {load:.1f} of its capacity")
 
     def probe(self, now, place):
         servers = list(self.roster.servers)
