--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -469,8 +469,12 @@
             return (other not in tried and self.roster.may_dial(now, other, False)
                     and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
 
+        def full_at(other):
+            # One that holds the group takes its member for far less than one that does not.
+            return self.levels.full if sess.group is None or sess.group in other.groups else 0.9 * self.levels.full
+
         open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
-                   and self.levels.expected(now, other, bearable) < self.levels.full]
+                   and self.levels.expected(now, other, bearable) < full_at(other)]
         if server not in open_to:
             holding = [other for other in open_to if sess.group is not None and sess.group in other.groups]
             server = self.table.best(sess.slot, holding or open_to)
