--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -471,7 +471,7 @@
 
         def full_at(other):
             # One that holds the group takes its member for far less than one that does not.
-            return self.levels.full if sess.group is None or sess.group in other.groups else 0.9 * self.levels.full
+            return self.levels.full if sess.group is None or sess.group in other.groups else 0.8 * self.levels.full
 
         open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
                    and self.levels.expected(now, other, bearable) < full_at(other)]
