--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -693,7 +693,7 @@
         connections outlive the trouble. They act from the load at which messages are late while other
         servers have room, and from full capacity in any case: past it nobody there is served, and those
         who must wait outside cost less. Whole slots go, so that a group is not spread; half the excess
-        at a time, since reports lag behind the moves."""
+        at a time, since reports lag behind the moves, but all of it past full capacity."""
         full = self.levels.full
         loads = {server: self.levels.figure(now, server) for server in self.roster.servers
                  if self.levels.of_capacity and not self.health.silent(server)}
@@ -702,7 +702,7 @@
         for server, load in loads.items():
             if load < (full if room else 1.0) or now < server.move_after:
                 continue
-            count = math.ceil(len(server.sessions) * (1 - (0.75 if room else 1.0) * full / load) / 2)
+            count = math.ceil(len(server.sessions) * (1 - (0.75 if room else 1.0) * full / load) / (2 if load < 1.0 else 1))
             by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
             for sess in by_score[:count]:
                 self.actions.move(sess)
