--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -471,7 +471,8 @@
 
         def full_at(other):
             # One that holds the group takes its member for far less than one that does not.
-            return self.levels.full if sess.group is None or sess.group in other.groups else 0.8 * self.levels.full
+            cheap = sess.group is None or sess.group in other.groups
+            return self.levels.full * (1.0 if cheap else 0.8)
 
         open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
                    and self.levels.expected(now, other, bearable) < full_at(other)]
@@ -702,7 +703,8 @@
         for server, load in loads.items():
             if load < (full if room else 1.0) or now < server.move_after:
                 continue
-            count = math.ceil(len(server.sessions) * (1 - (0.75 if room else 1.0) * full / load) / (2 if load < 1.0 else 1))
+            excess = 1 - (0.75 if room else 1.0) * full / load
+            count = math.ceil(len(server.sessions) * (excess if load >= 1.0 else excess / 2))
             by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
             for sess in by_score[:count]:
                 self.actions.move(sess)
