--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -212,6 +212,7 @@
     d.session("no list yet")
     d.list("a", "a", kind=ListKind.FULL)
     d.session("no time left", left=0.0)
+    d.accept("no handshake target", listener=Listener("any", handshake_target=0.0))
     for figure in (-1.0, None, float("nan")):
         d.balancer.on_probed(d.now, d.servers["a"], True, [figure])
     d.balancer.on_probed(d.now, d.servers["a"], True, None)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -408,7 +408,8 @@
 
     def accepted(self, now, sess):
         self.under_way.pop(sess, None)
-        self.set_ups.append((now, (now - sess.dials[-1].sent) / sess.listener.handshake_target))
+        target = max(1.0, sess.listener.handshake_target)
+        self.set_ups.append((now, (now - sess.dials[-1].sent) / target))
         if self.slow(now):
             self.failed(now)
         else:
