Fill tables by comparing joiners only, find further servers along the slots: same G, less CPU

A further server for a session is the next one that the slots after its own lead to, no longer the next hash over the fleet.

--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -6,6 +6,7 @@
 
 import enum
 from collections import deque
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -65,7 +66,7 @@
     started: float | None = None        # None: long ago
     phase: Phase = Phase.READY
     told: float = 0.0                   # when this proxy heard that it drains or is gone
-    scores: list = field(default_factory=list)      # by slot, lower wins
+    scores: Sequence[float] = ()        # by slot, lower wins
     samples: deque = field(default_factory=lambda: deque(maxlen=2))     # (time, load figure)
     probed: float | None = None         # when the probe that is out was sent
     silent: int = 0                     # probes without an answer since the last one answered
@@ -74,7 +75,6 @@
     shift_after: float = 0.0
     move_after: float = 0.0
     sessions: dict = field(default_factory=dict)    # open here, in order of arrival
-    groups: dict = field(default_factory=dict)      # how many of a group are open here
 
 
 @dataclass(eq=False)
@@ -97,6 +97,8 @@
     slot: int = 0
     server: Server | None = None        # of the dial that is out or accepted
     dials: list = field(default_factory=list)
+    choices: Iterator[Server] | None = None     # whom to try next
+    spare: Server | None = None         # looked ill, to be tried when all others will not do
     accepted: float | None = None       # when
     ended: bool = False
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -10,7 +10,11 @@
 
 import hashlib
 import math
+import struct
+from array import array
 from collections import deque
+from itertools import chain
+from math import log
 from statistics import fmean, median
 
 from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
@@ -22,15 +26,16 @@
 
 def slot_scores(name, size):
     """-ln of a uniform draw per slot: the lowest score over weight is the highest weighted hash."""
-    raw = hashlib.shake_128(name.encode()).digest(4 * size)
-    return [-math.log((int.from_bytes(raw[i:i + 4], "big") + 1) / (2**32 + 1)) for i in range(0, 4 * size, 4)]
+    draws = struct.unpack(f">{size}I", hashlib.shake_128(name.encode()).digest(4 * size))
+    return array("f", [log(2**32 / (draw or 1)) for draw in draws])
 
 
 class SlotTable:
     """Current and new table; which server a session's key leads to."""
 
     def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age,
-                 zone, near):
+                 zone, near, reach):
+        self.reach = reach
         self.zone = zone
         self.near = near
         self.choose = choose
@@ -40,9 +45,12 @@
         self.hard_time_out = hard_time_out
         self.keys_kept = keys_kept
         self.keys_age = keys_age
+        self.home = [None] * size       # highest hash of all that are listed, whatever was shifted
+        self.lowest = [math.inf] * size     # its score
         self.current = [None] * size
         self.new = [None] * size
         self.sessions = [{} for _ in range(size)]
+        self.holders = {}       # group -> {server: how many of it are open there through this proxy}
         self.opened = {}        # slot -> when its entry in the new table was written
         self.moved = {}         # key -> (server, when), oldest first
         self.exceptions = {}    # key -> (server, when), oldest first
@@ -71,22 +79,47 @@
 
     def accepted(self, now, sess):
         self.sessions[sess.slot][sess] = None
+        if sess.group is not None:
+            holders = self.holders.setdefault(sess.group, {})
+            holders[sess.server] = holders.get(sess.server, 0) + 1
         if sess.server not in (self.current[sess.slot], self.new[sess.slot]):
             self.except_key(now, sess)
 
     def ended(self, sess):
         self.sessions[sess.slot].pop(sess, None)
         self.exceptions.pop(sess.key, None)
+        if sess.group is not None:
+            holders = self.holders[sess.group]
+            holders[sess.server] -= 1
+            if not holders[sess.server]:
+                del holders[sess.server]
+            if not holders:
+                del self.holders[sess.group]
 
     def except_key(self, now, sess):
         if len(self.exceptions) < self.keys_kept:
+            self.exceptions.pop(sess.key, None)
             self.exceptions[sess.key] = (sess.server, now)
 
+    def pull(self, server):
+        """What a server's hash counts for: its registered size. Exception: where crossing to another zone
+        has a price, servers of the own zone weigh more; all proxies of a zone still fill alike."""
+        return server.weight * (self.near if server.zone == self.zone else 1.0)
+
     def best(self, slot, servers, factor=lambda server: 1.0):
-        """Highest hash, weighted by registered size. Exception: where crossing to another zone has a
-        price, servers of the own zone weigh more; all proxies of a zone still fill their tables alike."""
-        return min(servers, default=None, key=lambda server: server.scores[slot] / (
-            server.weight * factor(server) * (self.near if server.zone == self.zone else 1.0)))
+        return min(servers, default=None,
+                   key=lambda server: server.scores[slot] / (self.pull(server) * factor(server)))
+
+    def others(self, slot):
+        """The servers that the slots after this one lead to, each once: whom to try where the slot's own
+        will not do. Every proxy finds the same ones, and none goes over the whole fleet for a session."""
+        seen = {}
+        for step in range(1, self.reach):
+            at = (slot + step) % self.size
+            server = self.new[at] or self.current[at]
+            if server is not None and server not in seen:
+                seen[server] = None
+                yield server
 
     def update(self, now, joined, left, live):
         # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
@@ -94,15 +127,19 @@
             if not server.scores:
                 server.scores = slot_scores(server.name, self.size)
         self.leave(left, live)
-        self.join(now, joined, live)
+        self.join(now, joined)
 
-    def join(self, now, joined, live):
+    def join(self, now, joined):
         """Give joiners the slots that the highest hash gives them, about the mean count, whatever
-        was shifted meanwhile: every proxy with the same list then arrives at the same slots."""
-        if not joined:
-            return
-        for slot in range(self.size):
-            server = self.best(slot, live)
+        was shifted meanwhile: every proxy with the same list then arrives at the same slots. Only the
+        joiners are compared with what stands: hundreds of servers are listed at once at the start."""
+        for server in joined:
+            pull = self.pull(server)
+            for slot, score in enumerate(server.scores):
+                if score < pull * self.lowest[slot]:
+                    self.lowest[slot] = score / pull
+                    self.home[slot] = server
+        for slot, server in enumerate(self.home):
             if server in joined and self.current[slot] is not server:
                 self.redirect(now, slot, server)
 
@@ -110,11 +147,14 @@
         if not left:
             return
         for slot in range(self.size):
+            if self.home[slot] in left:
+                self.home[slot] = home = self.best(slot, live)
+                self.lowest[slot] = home.scores[slot] / self.pull(home) if home else math.inf
             if self.new[slot] in left:
                 self.clear(slot)
             if self.current[slot] in left:
                 # A server that is leaving gets nothing new, so the slot cannot wait for its end.
-                self.current[slot] = self.new[slot] or self.best(slot, live)
+                self.current[slot] = self.new[slot] or self.home[slot]
                 self.clear(slot)
 
     def redirect(self, now, slot, server):
@@ -153,8 +193,8 @@
     def close(self, now):
         """End the transition of slots whose old connections are over, or have had long enough."""
         for known in (self.moved, self.exceptions):
-            for key in [key for key, (_, when) in known.items() if when < now - self.keys_age]:
-                del known[key]
+            while known and next(iter(known.values()))[1] < now - self.keys_age:
+                del known[next(iter(known))]
         for slot, since in list(self.opened.items()):
             old = [sess for sess in self.sessions[slot] if sess.server is not self.new[slot]]
             if old and (now - since < self.hard_time_out or
@@ -179,6 +219,7 @@
         # Load over capacity says most; a queue or a count of connections only orders the servers.
         self.source = next((name for name in ("x0", "util", "queue") if name in names), None)
         self.of_capacity = self.source in ("x0", "util")
+        self.bearable = 10.0
         self.base = 1.0 if self.source == "queue" else 0.25
 
     def sample(self, now, server, report):
@@ -191,25 +232,39 @@
         recent = [figure for when, figure in server.samples if when > now - self.fresh]
         return fmean(recent) if recent else None
 
-    def expected(self, now, server, bearable):
+    def figures(self, now, servers):
+        """Of those that have one: with hundreds of proxies each sees few servers at a time."""
+        since = now - self.fresh
+        return {server: self.figure(now, server) for server in servers
+                if server.samples and server.samples[-1][0] > since}
+
+    def learn(self, now, warm):
+        """Connections of this proxy that a warm server bears at full load, worked out once a tick."""
+        loads = self.figures(now, warm) if self.of_capacity else {}
+        load = max(sum(loads.values()), 0.05 * len(loads))
+        # A proxy that has just started holds nothing yet on servers that others have loaded: without a
+        # floor it took each of its connections for a whole server and refused nearly all.
+        self.bearable = max(5.0, sum(len(server.sessions) for server in loads) / load) if load else 10.0
+
+    def expected(self, now, server):
         """The probed load with what this proxy has dialled since; 0 when nothing is known. Without
         it all sessions between two probes would crowd onto the server that looked best."""
         figure = self.figure(now, server) if self.of_capacity else None
         if figure is None:
             return 0.0
         since = server.samples[-1][0] - self.late
-        return figure + sum(when > since for when in server.dialled) / bearable
+        return figure + sum(when > since for when in server.dialled) / self.bearable
 
     def level(self, figure):
         return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
 
     def levels(self, now, servers):
         if self.source:
-            known = {server: self.figure(now, server) for server in servers}
+            known = self.figures(now, servers)
         else:
             mean = fmean([len(server.sessions) for server in servers] or [0]) or 1.0
             known = {server: len(server.sessions) / mean for server in servers}
-        found = {server: self.level(figure) for server, figure in known.items() if figure is not None}
+        found = {server: self.level(figure) for server, figure in known.items()}
         middle = int(median(found.values())) if found else 0
         return {server: found.get(server, middle) for server in servers}
 
@@ -320,14 +375,6 @@
     def ill(self, now, server):
         return self.silent(server) or self.failing(now, server)
 
-    def well(self, now, servers):
-        """Who may be dialled. When most look ill the cause is shared, and leaving out the ill would
-        only crowd the rest: then nobody is left out but those that are silent."""
-        good = [server for server in servers if not self.ill(now, server)]
-        if 2 * len(good) >= len(servers):
-            return good
-        return [server for server in servers if not self.silent(server)] or list(servers)
-
 
 class ColdBudget:
     """Rule 4: this proxy's part of what a server that has just started can take."""
@@ -433,16 +480,15 @@
 
 
 class Placement(Stage):
-    """Names the server: the table's for the first dial, the next hash in line for further ones."""
+    """Names the server: the table's for the first dial, those of the slots after it for further ones."""
 
-    def __init__(self, table, levels, roster, health, cold, bearable, most_dials):
+    def __init__(self, table, levels, roster, health, cold, most_dials):
         super().__init__()
         self.levels = levels
         self.table = table
         self.roster = roster
         self.health = health
         self.cold = cold
-        self.bearable = bearable
         self.most_dials = most_dials
 
     def enter(self, now, sess):
@@ -452,36 +498,51 @@
             # a cold one keeps its budget: where the guess is wrong the connection is set up anew there.
             server = self.table.find(sess.key, sess.slot)
             if server is not None and self.roster.may_dial(now, server, True) \
-                    and self.cold.allows(now, server, self.bearable(now)):
+                    and self.cold.allows(now, server, self.levels.bearable):
                 sess.server = server
                 return self.next.enter(now, sess)
-        server = self.table.place(now, sess.key, sess.slot)
-        self.go(now, sess, server)
-
-    def go(self, now, sess, server):
-        """Exception: where the table's server may not be dialled, the next highest hash of the
-        slot that may. It acts only for ill, tried and leaving servers, for cold ones past their budget,
-        and for overdriven ones: halving comes too late for those. With no server left the session is
-        refused: past that load messages are late, so one more costs those placed more than it gains."""
-        tried = {dial.server: None for dial in sess.dials}
-        bearable = self.bearable(now)
-
-        def usable(other):
-            return (other not in tried and self.roster.may_dial(now, other, False)
-                    and may_redial(now, sess, other) and self.cold.allows(now, other, bearable))
-
-        def full_at(other):
-            # One that holds the group takes its member for far less than one that does not.
-            cheap = sess.group is None or sess.group in other.groups
-            return self.levels.full * (1.0 if cheap else 0.8)
-
-        open_to = [other for other in self.health.well(now, self.roster.servers) if usable(other)
-                   and self.levels.expected(now, other, bearable) < full_at(other)]
-        if server not in open_to:
-            holding = [other for other in open_to if sess.group is not None and sess.group in other.groups]
-            server = self.table.best(sess.slot, holding or open_to)
-        if server is None:
-            return self.before.back(now, sess, None)
+        sess.choices = self.choices(now, sess)
+        self.go(now, sess)
+
+    def choices(self, now, sess):
+        """Exception: where the table's server will not do, those that hold the session's group here, then
+        those of the slots after its own. They act only for ill, tried and leaving servers, for cold ones
+        past their budget, and for overdriven ones: halving comes too late for those."""
+        first = self.table.place(now, sess.key, sess.slot)
+        seen = {dial.server: None for dial in sess.dials}
+        holding = list(self.table.holders.get(sess.group, ()))
+        for server in chain((first,), holding, self.table.others(sess.slot)):
+            if server is not None and server not in seen:
+                seen[server] = None
+                yield server
+
+    def go(self, now, sess):
+        """With no server left the session is refused: past that load messages are late, so one more
+        costs those placed more than it gains."""
+        for server in sess.choices:
+            if not self.usable(now, sess, server):
+                continue
+            if self.health.ill(now, server):
+                # When most look ill the cause is shared, and crowding the rest would not cure it.
+                if sess.spare is None and not self.health.silent(server):
+                    sess.spare = server
+            elif self.has_room(now, sess, server):
+                return self.dial(now, sess, server)
+        server, sess.spare = sess.spare, None
+        if server is not None and self.usable(now, sess, server) and self.has_room(now, sess, server):
+            return self.dial(now, sess, server)
+        self.before.back(now, sess, None)
+
+    def usable(self, now, sess, server):
+        return (self.roster.may_dial(now, server, False) and may_redial(now, sess, server)
+                and self.cold.allows(now, server, self.levels.bearable))
+
+    def has_room(self, now, sess, server):
+        # One that holds the group takes its member for far less than one that does not.
+        cheap = sess.group is None or server in self.table.holders.get(sess.group, ())
+        return self.levels.expected(now, server) < self.levels.full * (1.0 if cheap else 0.8)
+
+    def dial(self, now, sess, server):
         sess.server = server
         self.next.enter(now, sess)
 
@@ -489,7 +550,8 @@
         sensible = outcome is Outcome.CONNECT_FAILED or not self.health.shared_trouble(now)
         possible = len(sess.dials) < self.most_dials and sess.deadline > now
         if sensible and possible and outcome is not Outcome.CANCELLED:
-            self.go(now, sess, None)
+            sess.choices = sess.choices or self.choices(now, sess)
+            self.go(now, sess)
         else:
             self.before.back(now, sess, outcome)
 
@@ -516,7 +578,6 @@
         self.before.accepted(now, sess)
         sess.accepted = now
         sess.server.sessions[sess] = None
-        sess.server.groups[sess.group] = sess.server.groups.get(sess.group, 0) + 1
         self.table.accepted(now, sess)
         self.health.dialled(now, sess.server, True)
 
@@ -569,15 +630,15 @@
         self.ticks = 0
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
-                               zone=zone, near=self.nearness(crossing_price, move_price))
+                               zone=zone, near=self.nearness(crossing_price, move_price),
+                               reach=64)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
                               memory=5000.0)
-        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, self.bearable,
-                              most_dials)
+        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, most_dials)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
         self.first = admission
         for earlier, later in ((admission, placement), (placement, self.dialling)):
@@ -589,18 +650,6 @@
         connection's packets come to another zone, so it must pay well against moving clients."""
         return min(8.0, max(1.0, crossing_price / (2 * move_price))) if move_price else 1.0
 
-    def bearable(self, now):
-        """Connections of this proxy that a warm server bears at full load, as warm ones show."""
-        warm = [(len(server.sessions), self.levels.figure(now, server)) for server in self.roster.servers
-                if not self.cold.cold(now, server)]
-        shown = [(held, load) for held, load in warm if load and self.levels.of_capacity]
-        if not shown:
-            return 10.0
-        load = max(sum(load for _, load in shown), 0.05 * len(shown))
-        # A proxy that has just started holds nothing yet on servers that others have loaded: without a
-        # floor it took each of its connections for a whole server and refused nearly all.
-        return max(5.0, sum(held for held, _ in shown) / load)
-
     def on_start(self, now):
         self.roster.ask(now)
         # Proxies that start together would otherwise probe every server in the same instant.
@@ -642,9 +691,6 @@
         if sess.server is not None and sess in sess.server.sessions:
             del sess.server.sessions[sess]
             self.table.ended(sess)
-            sess.server.groups[sess.group] -= 1
-            if not sess.server.groups[sess.group]:
-                del sess.server.groups[sess.group]
 
     def on_notice(self, now, sess, load=None, message_ms=None):
         if load is not None:
@@ -675,6 +721,7 @@
 
     def tick(self, now):
         self.table.close(now)
+        self.levels.learn(now, [server for server in self.roster.servers if not self.cold.cold(now, server)])
         levels = self.levels.levels(now, self.roster.servers)
         shifted = self.table.halve(now, levels, self.CONNECTION_LIFE,
                                    lambda server: not self.health.ill(now, server)
@@ -697,9 +744,8 @@
         who must wait outside cost less. Whole slots go, so that a group is not spread; half the excess
         at a time, since reports lag behind the moves, but all of it past full capacity."""
         full = self.levels.full
-        loads = {server: self.levels.figure(now, server) for server in self.roster.servers
+        loads = {server: load for server, load in self.levels.figures(now, self.roster.servers).items()
                  if self.levels.of_capacity and not self.health.silent(server)}
-        loads = {server: load for server, load in loads.items() if load is not None}
         room = sum(full - load for load in loads.values()) > 0
         for server, load in loads.items():
             if load < (full if room else 1.0) or now < server.move_after:
