--- a/tests/drive.py
+++ b/tests/drive.py
@@ -9,7 +9,7 @@
 import random
 import sys
 
-from wheathill.model import Listener, ListKind, Phase, Server, Session
+from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
 from wheathill.policy import Balancer
 
 TRACES = pathlib.Path(__file__).parent / "traces"
@@ -27,9 +27,11 @@
         self.now = 0.0
         self.alarms = []
         self.loads = loads or {}
+        settings.setdefault("may_probe", loads is not None)
         self.names = {}
         self.servers = {}
         self.probes = 0
+        self.answers = True
         self.loud = True
         self.balancer = Balancer(self, random.Random(seed), **{**USUAL, **settings})
         self.balancer.on_start(self.now)
@@ -52,8 +54,11 @@
 
     def probe(self, server):
         self.probes += 1
+        if not self.answers:
+            return
         load = self.loads.get(server.name)
-        self.balancer.on_probed(self.now, server, load is not None, [load])
+        answer = Outcome.OVERDUE if load is None else Outcome.COMPLETED
+        self.balancer.on_probed(self.now, server, answer, [load])
 
     def follow_list(self, on):
         self.say(f"follows the list: {on}")
@@ -98,6 +103,17 @@
             self.balancer.on_alarm(self.now, alarm[2])
         self.now = then
 
+    def pass_time(self, then):
+        """With sessions that come and go, as these pay for probes."""
+        while self.now < then:
+            self.until(min(then, self.now + 100.0))
+            self.loud, loud = False, self.loud
+            sess = self.session(f"passing {self.now:.0f}")
+            if not sess.ended:
+                self.balancer.on_accepted(self.now, sess)
+                self.balancer.on_outcome(self.now, sess, Outcome.COMPLETED, True)
+            self.loud = loud
+
     def shares(self):
         table = self.balancer.table
         for name, server in sorted(self.servers.items()):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -13,13 +13,14 @@
 
 
 def ordinary_path():
-    d = Drive(loads={"a": 0.9, "b": 0.1, "c": 0.3, "d": 0.3})
+    d = Drive(loads=dict.fromkeys(FLEET, 0.3))
     d.list(*FLEET, kind=ListKind.CACHED)
     d.shares()
     d.loud = False
     held = [d.accept(f"s{i}") for i in range(80)]
     d.loud = True
-    d.until(2500.0)
+    d.loads.update(a=0.9, b=0.1)
+    d.pass_time(2500.0)
     d.shares()
     moved = next(s for s in held if d.balancer.table.new[s.slot] is not None)
     d.say("a new key on a shifted slot, then the same and an old key mid-flow:")
@@ -28,7 +29,7 @@
     d.session("again", key=key, mid_flow=True)
     d.session("old", key=moved.key, mid_flow=True)
     d.loads["a"] = 0.3
-    d.until(20_000.0)
+    d.pass_time(20_000.0)
     d.shares()
     d.say("after the hard time-out the old key is an exception:")
     d.session("old", key=moved.key, mid_flow=True)
@@ -138,17 +139,18 @@
 
 
 def overload():
-    d = Drive(loads={"a": 1.2, "b": 0.5, "c": 0.5, "d": 0.5})
+    d = Drive(loads=dict.fromkeys(FLEET, 0.5))
     d.list(*FLEET, kind=ListKind.CACHED)
     d.loud = False
     for i in range(40):
         d.accept(f"s{i}", key=f"k{i}")
     d.loud = True
-    d.until(2500.0)
+    d.loads["a"] = 1.2
+    d.pass_time(2500.0)
     d.say("the levels above shift slots; clients of a full server come back elsewhere:")
     d.session("back", key=next(s.key for s in d.servers["a"].sessions), returning=True)
     d.loads = dict.fromkeys(FLEET, 0.9)
-    d.until(5000.0)
+    d.pass_time(5000.0)
     d.session("no room anywhere")
     d.session("but its packets are flowing", mid_flow=True)
     return d.lines
@@ -184,6 +186,26 @@
     return d.lines
 
 
+def asked_first():
+    d = Drive(loads={"a": 0.9, "b": 0.9, "c": None, "d": 0.2}, proxies=300)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    for i in range(6):
+        probes = d.probes
+        d.session(f"s{i}")
+        d.say(f"probes for it: {d.probes - probes}")
+    d.now += 2000.0
+    d.say("figures are old, and probes are not answered in time:")
+    d.answers = False
+    d.session("patient")
+    d.until(d.now + 1000.0)
+    d.session("little time left", left=500.0)
+    d.session("its client hangs up meanwhile")
+    d.balancer.on_hang_up(d.now, list(d.names)[-1])
+    d.until(d.now + 10_000.0)
+    d.say(f"probes without further sessions: {d.probes}")
+    return d.lines
+
+
 def store_swamped():
     d = Drive(most_dials=6)
     d.list(*FLEET, "e", "f", kind=ListKind.CACHED)
@@ -214,19 +236,19 @@
     d.session("no time left", left=0.0)
     d.accept("no handshake target", listener=Listener("any", handshake_target=0.0))
     for figure in (-1.0, None, float("nan")):
-        d.balancer.on_probed(d.now, d.servers["a"], True, [figure])
-    d.balancer.on_probed(d.now, d.servers["a"], True, None)
+        d.balancer.on_probed(d.now, d.servers["a"], Outcome.COMPLETED, [figure])
+    d.balancer.on_probed(d.now, d.servers["a"], Outcome.COMPLETED, None)
     d.say(f"figures taken from broken reports: {len(d.servers['a'].samples)}")
     sess = d.session("a server that left")
     d.list(kind=ListKind.FULL)
     d.outcome(sess, Outcome.RESET)
-    d.balancer.on_probed(d.now, d.servers["a"], True, [0.5])
+    d.balancer.on_probed(d.now, d.servers["a"], Outcome.COMPLETED, [0.5])
     return d.lines
 
 
 SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
                                            cold_start, overload, without_probes, groups_meet,
-                                           store_swamped, list_out_of_reach, odd_input)}
+                                           asked_first, store_swamped, list_out_of_reach, odd_input)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -121,7 +121,7 @@
 
     def probed(self, now, name, code, _spent, report):
         if name in self.servers:
-            self.balancer.on_probed(now, self.servers[name], code == "completed", report)
+            self.balancer.on_probed(now, self.servers[name], OUTCOMES.get(code, Outcome.ERROR), report)
 
     def peer(self, now, peer, message):
         self.balancer.on_peer(now, peer, base64.b64decode(message or ""))
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from collections import deque
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -69,6 +70,7 @@
     scores: Sequence[float] = ()        # by slot, lower wins
     samples: deque = field(default_factory=lambda: deque(maxlen=2))     # (time, load figure)
     probed: float | None = None         # when the probe that is out was sent
+    asked: float = -math.inf            # when the last probe was sent
     silent: int = 0                     # probes without an answer since the last one answered
     results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
     dialled: deque = field(default_factory=lambda: deque(maxlen=128))   # when
@@ -98,7 +100,9 @@
     server: Server | None = None        # of the dial that is out or accepted
     dials: list = field(default_factory=list)
     choices: Iterator[Server] | None = None     # whom to try next
-    spare: Server | None = None         # looked ill, to be tried when all others will not do
+    spare: Server | None = None         # looked ill: to be dialled where no server that is well was met
+    met_full: bool = False              # a server that is well had no room for it
+    asked: int = 0                      # servers probed for it
     accepted: float | None = None       # when
     ended: bool = False
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -255,6 +255,9 @@
         since = server.samples[-1][0] - self.late
         return figure + sum(when > since for when in server.dialled) / self.bearable
 
+    def age(self, now, server):
+        return now - server.samples[-1][0] if server.samples else math.inf
+
     def level(self, figure):
         return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
 
@@ -344,6 +347,39 @@
         return mid_flow and server.phase is Phase.DRAINING and now < server.told + self.drain_grace / 2
 
 
+class Probes:
+    """Sends probes: the asked ones, and within what sessions pay for a round over the fleet."""
+
+    def __init__(self, actions, allowed, a_session, every, calm, near_full):
+        self.actions = actions
+        self.allowed = allowed
+        self.a_session = a_session
+        self.every = every
+        self.calm = calm
+        self.near_full = near_full
+        self.earned = 0.0
+
+    def session(self, servers):
+        # A probe has its price by the session and its work at the server: by the clock, all
+        # proxies probing all servers would grow with the product of both.
+        self.earned = min(self.earned + self.a_session, float(len(servers)))
+
+    def send(self, now, server):
+        if server.probed is None:
+            server.probed = server.asked = now
+            self.earned -= 1.0
+            self.actions.probe(server)
+
+    def due(self, now, servers, figures):
+        """Those near full first, then those not asked for longest; far from full ones half as often."""
+        if not self.allowed or self.earned < 1.0:
+            return []
+        near = {server: None for server, figure in figures.items() if figure > self.near_full}
+        due = [server for server in servers if server.probed is None and now - server.asked >=
+               self.every * (self.calm if server in figures and server not in near else 1)]
+        return sorted(due, key=lambda server: (server not in near, server.asked))[:int(self.earned)]
+
+
 class Health:
     """Who answers, judged by the last few dials and probes of this proxy alone."""
 
@@ -482,8 +518,15 @@
 class Placement(Stage):
     """Names the server: the table's for the first dial, those of the slots after it for further ones."""
 
-    def __init__(self, table, levels, roster, health, cold, most_dials):
+    def __init__(self, actions, table, levels, roster, health, cold, probes, most_dials, most_asked, recent):
         super().__init__()
+        self.actions = actions
+        self.probes = probes
+        self.most_asked = most_asked
+        self.recent = recent
+        self.waiting = {}       # server -> sessions that wait for its answer
+        self.patience = {}      # number of the wait -> (session, server)
+        self.waits = 0
         self.levels = levels
         self.table = table
         self.roster = roster
@@ -516,23 +559,60 @@
                 seen[server] = None
                 yield server
 
-    def go(self, now, sess):
+    def go(self, now, sess, asked=None):
         """With no server left the session is refused: past that load messages are late, so one more
         costs those placed more than it gains."""
-        for server in sess.choices:
+        for server in sess.choices if asked is None else chain((asked,), sess.choices):
             if not self.usable(now, sess, server):
                 continue
             if self.health.ill(now, server):
                 # When most look ill the cause is shared, and crowding the rest would not cure it.
                 if sess.spare is None and not self.health.silent(server):
                     sess.spare = server
+            elif server is not asked and self.should_ask(now, sess, server):
+                return self.ask(now, sess, server)
             elif self.has_room(now, sess, server):
                 return self.dial(now, sess, server)
+            else:
+                sess.met_full = True
         server, sess.spare = sess.spare, None
-        if server is not None and self.usable(now, sess, server) and self.has_room(now, sess, server):
+        if server is not None and not sess.met_full and self.usable(now, sess, server):
             return self.dial(now, sess, server)
         self.before.back(now, sess, None)
 
+    def should_ask(self, now, sess, server):
+        """Exception: a server of which no recent figure is known is probed before a session goes there.
+        Among hundreds of proxies each sees too few sessions to pay for following every server's load,
+        so what the others sent meanwhile would be met blindly; a server that went silent shows as well.
+        Not with little time left, and only a few a session: with none left, unknown ones are dialled."""
+        return (self.probes.allowed and self.levels.of_capacity and sess.asked < self.most_asked
+                and self.levels.age(now, server) > self.recent
+                and sess.deadline - now > sess.listener.dial_timeout / 2)
+
+    def ask(self, now, sess, server):
+        sess.asked += 1
+        self.waiting.setdefault(server, {})[sess] = None
+        self.waits += 1
+        self.patience[self.waits] = sess, server
+        self.actions.alarm(f"wait {self.waits}", now + sess.listener.handshake_target / 4)
+        self.probes.send(now, server)
+
+    def answered(self, now, server, well):
+        for sess in self.waiting.pop(server, ()):
+            self.resume(now, sess, server, well)
+
+    def out_of_patience(self, now, number):
+        sess, server = self.patience.pop(number)
+        if self.waiting.get(server, {}).pop(sess, self) is not self:
+            self.resume(now, sess, server, False)
+
+    def resume(self, now, sess, server, well):
+        if sess.ended:
+            return
+        if not well and sess.spare is None:
+            sess.spare = server
+        self.go(now, sess, server if well else None)
+
     def usable(self, now, sess, server):
         return (self.roster.may_dial(now, server, False) and may_redial(now, sess, server)
                 and self.cold.allows(now, server, self.levels.bearable))
@@ -619,15 +699,12 @@
 
     TICK = 1000.0
     CONNECTION_LIFE = 10_000.0
-    CALM = 2
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
                  sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait,
                  crossing_price, move_price):
         self.actions = actions
         self.uniform = rng.uniform
-        self.may_probe = may_probe
-        self.ticks = 0
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price),
@@ -638,10 +715,14 @@
         self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
                               memory=5000.0)
-        placement = Placement(self.table, self.levels, self.roster, self.health, self.cold, most_dials)
+        self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
+                             near_full=self.levels.full / 2)
+        self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
+                                   self.probes, most_dials, most_asked=4, recent=self.TICK)
         self.dialling = Dialling(actions, self.table, self.health, self.cold)
+        self.next_probes = deque()
         self.first = admission
-        for earlier, later in ((admission, placement), (placement, self.dialling)):
+        for earlier, later in ((admission, self.placement), (self.placement, self.dialling)):
             earlier.next, later.before = later, earlier
 
     @staticmethod
@@ -658,11 +739,15 @@
     def on_list(self, now, kind, entries):
         joined, left = self.roster.update(now, kind, entries)
         self.table.update(now, dict.fromkeys(joined), dict.fromkeys(left), self.roster.servers)
+        for server in joined:
+            # In unlike order at each proxy, or all would probe the same servers first.
+            server.asked = now - self.uniform(1.0, 2.0) * self.CONNECTION_LIFE
         for what, servers in (("joined", joined), ("left", left)):
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
 
     def on_session(self, now, sess):
+        self.probes.session(self.roster.servers)
         self.first.enter(now, sess)
 
     def on_open_session(self, now, sess, server):
@@ -696,13 +781,15 @@
         if load is not None:
             sess.load = load
 
-    def on_probed(self, now, server, answered, report):
+    def on_probed(self, now, server, outcome, report):
         server.probed = None
-        if answered:
+        if outcome is Outcome.COMPLETED:
             server.silent = 0
             self.levels.sample(now, server, report)
-        else:
+        elif outcome is not Outcome.FULL:
+            # One that has too many probes to answer is not a silent one.
             server.silent += 1
+        self.placement.answered(now, server, outcome in (Outcome.COMPLETED, Outcome.FULL))
 
     def on_report(self, now, server, report):
         self.levels.sample(now, server, report)
@@ -716,8 +803,12 @@
         elif name == "tick":
             self.tick(now)
             self.actions.alarm("tick", now + self.TICK)
-        elif name.startswith("probe "):
-            self.probe(now, int(name[6:]))
+        elif name.startswith("wait "):
+            self.placement.out_of_patience(now, int(name[5:]))
+        elif name == "probe" and self.next_probes:
+            server = self.next_probes.popleft()
+            if server.phase is Phase.READY:
+                self.probes.send(now, server)
 
     def tick(self, now):
         self.table.close(now)
@@ -729,13 +820,10 @@
         if shifted:
             self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
         self.relieve(now)
-        self.ticks += 1
-        servers = list(self.roster.servers) if self.may_probe else []
-        for place, server in enumerate(servers):
-            # Probes cost work and points: a server far from full is asked on every other tick.
-            figure = self.levels.figure(now, server)
-            if (place + self.ticks) % self.CALM == 0 or figure is None or figure > self.levels.full / 2:
-                self.actions.alarm(f"probe {place}", now + self.TICK * (place + 0.5) / len(servers))
+        due = self.probes.due(now, self.roster.servers, self.levels.figures(now, self.roster.servers))
+        self.next_probes = deque(due)
+        for place in range(len(due)):
+            self.actions.alarm("probe", now + self.TICK * (place + 0.5) / len(due))
 
     def relieve(self, now):
         """Exception: polite moves off an overdriven server. Shifted slots only help sessions to come, and
@@ -758,9 +846,3 @@
             if count:
                 server.move_after = now + 2 * self.TICK
                 self.actions.log(f"move: {count} connections off a server at {load:.1f} of its capacity")
-
-    def probe(self, now, place):
-        servers = list(self.roster.servers)
-        if place < len(servers) and servers[place].probed is None:
-            servers[place].probed = now
-            self.actions.probe(servers[place])
