--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -138,6 +138,26 @@
     return d.lines
 
 
+def cold_start_among_many():
+    """Each of 100 proxies holds too little to be due a whole session; all together must not be nought."""
+    drives = [Drive(seed=seed, loads=dict.fromkeys(FLEET, 0.2), proxies=100) for seed in range(100)]
+    dialled = [0] * 10
+    for d in drives:
+        d.list("a", "b", "c", kind=ListKind.CACHED)
+        d.loud = False
+        for i in range(4):
+            d.accept(f"held {i}")
+        d.until(60_000.0)
+        d.list(("d", 60_000.0))
+        for second in range(10):
+            d.until(d.now + 1000.0)
+            for i in range(4):
+                dialled[second] += d.accept(f"{second}/{i}").server is d.servers["d"]
+    d.loud = True
+    d.say(f"of 400 sessions a second of 100 proxies to the cold server: {dialled}")
+    return d.lines
+
+
 def overload():
     d = Drive(loads=dict.fromkeys(FLEET, 0.5))
     d.list(*FLEET, kind=ListKind.CACHED)
@@ -247,7 +267,8 @@
 
 
 SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
-                                           cold_start, overload, without_probes, groups_meet,
+                                           cold_start, cold_start_among_many,
+                                           overload, without_probes, groups_meet,
                                            asked_first, store_swamped, list_out_of_reach, odd_input)}
 
 
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -74,6 +74,8 @@
     silent: int = 0                     # probes without an answer since the last one answered
     results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
     dialled: deque = field(default_factory=lambda: deque(maxlen=128))   # when
+    credit: float = 0.0                 # dials that may go there while it is cold
+    credited: float = 0.0               # when that was worked out
     shift_after: float = 0.0
     move_after: float = 0.0
     sessions: dict = field(default_factory=dict)    # open here, in order of arrival
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -415,29 +415,47 @@
 class ColdBudget:
     """Rule 4: this proxy's part of what a server that has just started can take."""
 
-    def __init__(self, proxies, start_share, cold_for, multiple, window):
-        self.proxies = proxies
+    def __init__(self, uniform, proxies, start_share, cold_for, multiple, window):
+        self.uniform = uniform
         self.start_share = start_share
         self.cold_for = cold_for
         self.multiple = multiple
         self.window = window
+        # What a warm server bears at full load, in this proxy's own connections; until some are held, the
+        # part of a few dozen in all.
+        self.bearable = 40.0 / proxies
 
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
-    def allows(self, now, server, bearable):
-        """`bearable` is what warm servers hold at full load, in this proxy's own connections."""
+    def learn(self, warm, loads):
+        """A proxy among hundreds holds less than one connection a server: only those on all warm
+        servers together, over their mean load, tell what one bears."""
+        held = sum(len(server.sessions) for server in warm)
+        if held and loads:
+            self.bearable = held / len(warm) / max(0.05, fmean(loads))
+
+    def joined(self, now, server):
+        # The part of one proxy may be far below one session. Each starts with a part of one at random:
+        # rounded up by all, a cold server would be pushed over, rounded down by all it would never fill.
+        server.credit, server.credited = self.uniform(0.0, 1.0), now
+
+    def allows(self, now, server):
         if not self.cold(now, server):
             return True
-        ready = self.start_share + (1 - self.start_share) * max(0.0, now - server.started) / self.cold_for
+        age = max(0.0, (now + server.credited) / 2 - server.started)
+        ready = self.start_share + (1 - self.start_share) * age / self.cold_for
         # A server fills over its warm-up at the fastest; a quarter of the budget is left for repeats,
         # probes and handshakes, and for what other proxies send when they know less.
-        rate = 0.75 * bearable / self.cold_for * ready * self.multiple
-        gap = max(self.window / 16, min(1 / max(rate, 1e-9), self.proxies * self.window))
-        return not server.dialled or now - server.dialled[-1] >= gap
+        rate = 0.75 * self.bearable / self.cold_for * ready * self.multiple
+        most = max(1.0, rate * self.window / 4)
+        server.credit = min(most, server.credit + rate * (now - server.credited))
+        server.credited = now
+        return server.credit >= 1.0
 
     def dialled(self, now, server):
         server.dialled.append(now)
+        server.credit -= 1.0
 
 
 class Stage:
@@ -541,7 +559,7 @@
             # a cold one keeps its budget: where the guess is wrong the connection is set up anew there.
             server = self.table.find(sess.key, sess.slot)
             if server is not None and self.roster.may_dial(now, server, True) \
-                    and self.cold.allows(now, server, self.levels.bearable):
+                    and self.cold.allows(now, server):
                 sess.server = server
                 return self.next.enter(now, sess)
         sess.choices = self.choices(now, sess)
@@ -615,7 +633,7 @@
 
     def usable(self, now, sess, server):
         return (self.roster.may_dial(now, server, False) and may_redial(now, sess, server)
-                and self.cold.allows(now, server, self.levels.bearable))
+                and self.cold.allows(now, server))
 
     def has_room(self, now, sess, server):
         # One that holds the group takes its member for far less than one that does not.
@@ -712,7 +730,7 @@
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
-        self.cold = ColdBudget(proxies, start_share, cold_for, cold_multiple, cold_window)
+        self.cold = ColdBudget(rng.uniform, proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
                               memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
@@ -742,6 +760,7 @@
         for server in joined:
             # In unlike order at each proxy, or all would probe the same servers first.
             server.asked = now - self.uniform(1.0, 2.0) * self.CONNECTION_LIFE
+            self.cold.joined(now, server)
         for what, servers in (("joined", joined), ("left", left)):
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
@@ -812,7 +831,10 @@
 
     def tick(self, now):
         self.table.close(now)
-        self.levels.learn(now, [server for server in self.roster.servers if not self.cold.cold(now, server)])
+        warm = [server for server in self.roster.servers if not self.cold.cold(now, server)]
+        self.levels.learn(now, warm)
+        if self.levels.of_capacity:
+            self.cold.learn(warm, self.levels.figures(now, warm).values())
         levels = self.levels.levels(now, self.roster.servers)
         shifted = self.table.halve(now, levels, self.CONNECTION_LIFE,
                                    lambda server: not self.health.ill(now, server)
