--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -142,7 +142,7 @@
     """Each of 100 proxies holds too little to be due a whole session; all together must not be nought."""
     drives = [Drive(seed=seed, loads=dict.fromkeys(FLEET, 0.2), proxies=100) for seed in range(100)]
     dialled = [0] * 10
-    for d in drives:
+    for number, d in enumerate(drives):
         d.list("a", "b", "c", kind=ListKind.CACHED)
         d.loud = False
         for i in range(4):
@@ -152,7 +152,7 @@
         for second in range(10):
             d.until(d.now + 1000.0)
             for i in range(4):
-                dialled[second] += d.accept(f"{second}/{i}").server is d.servers["d"]
+                dialled[second] += d.accept(f"{number}/{second}/{i}").server is d.servers["d"]
     d.loud = True
     d.say(f"of 400 sessions a second of 100 proxies to the cold server: {dialled}")
     return d.lines
@@ -238,6 +238,23 @@
     return d.lines
 
 
+def store_swamped_among_many():
+    """One proxy of hundreds: two failures in a row at unlike servers are all that it sees."""
+    d = Drive(loads=dict.fromkeys(FLEET, 0.3), proxies=300, most_dials=6)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    for i in range(3):
+        sess = d.session(f"s{i}")
+        while not sess.ended:
+            d.now += 600.0
+            d.outcome(sess, Outcome.ERROR)
+        d.session("meanwhile")
+        d.now += 4000.0
+    for i in range(4):
+        d.accept(f"well {i}")
+        d.now += 1000.0
+    return d.lines
+
+
 def list_out_of_reach():
     d = Drive(must_ask=True)
     d.list(*FLEET, kind=ListKind.CACHED)
@@ -269,7 +286,8 @@
 SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
-                                           asked_first, store_swamped, list_out_of_reach, odd_input)}
+                                           asked_first, store_swamped, store_swamped_among_many,
+                                           list_out_of_reach, odd_input)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -406,7 +406,8 @@
         would swamp it more."""
         recent = [(server, well) for when, server, well in self.dials if when > now - self.shared_memory]
         bad = dict.fromkeys(server for server, well in recent if not well)
-        return len(bad) >= 3 and 2 * sum(not well for _, well in recent) >= len(recent)
+        # Two servers are enough: one proxy among hundreds sees hardly more before its clients give up.
+        return len(bad) >= 2 and 2 * sum(not well for _, well in recent) >= len(recent)
 
     def ill(self, now, server):
         return self.silent(server) or self.failing(now, server)
@@ -480,19 +481,25 @@
 
     Exception: while set-ups fail at many servers, only so many may be under way at once, halved as
     they fail and growing as they succeed. Clients that return together would otherwise swamp what
-    all set-ups depend on, and keep it swamped by coming again.
+    all set-ups depend on, and keep it swamped by coming again. One each is still too many where there
+    are hundreds of proxies: below one, the next set-up waits for longer and longer.
     """
 
-    def __init__(self, actions, health, longest_wait, most_set_ups, cut_wait, memory):
+    def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
+                 memory):
         super().__init__()
         self.actions = actions
+        self.uniform = uniform
         self.health = health
         self.longest_wait = longest_wait
         self.most_set_ups = most_set_ups
+        self.least_set_ups = least_set_ups
+        self.pause = pause
         self.cut_wait = cut_wait
         self.memory = memory
         self.window = float(most_set_ups)
         self.cut_at = -math.inf
+        self.next_at = -math.inf
         self.under_way = {}
         self.set_ups = deque(maxlen=8)      # (when, time taken over handshake target)
 
@@ -502,11 +509,17 @@
         return len(recent) >= 4 and median(recent) > 1.0
 
     def enter(self, now, sess):
-        if sess.deadline <= now or not sess.mid_flow and len(self.under_way) >= self.window:
+        full = len(self.under_way) >= max(1.0, self.window) or now < self.next_at
+        if sess.deadline <= now or not sess.mid_flow and full:
             return self.back(now, sess, None)
         self.under_way[sess] = None
+        self.space(now)
         self.next.enter(now, sess)
 
+    def space(self, now):
+        if self.window < 1.0:
+            self.next_at = now + self.pause / self.window * self.uniform(0.5, 1.5)
+
     def accepted(self, now, sess):
         self.under_way.pop(sess, None)
         target = max(1.0, sess.listener.handshake_target)
@@ -514,13 +527,14 @@
         if self.slow(now):
             self.failed(now)
         else:
-            self.window = min(self.most_set_ups, self.window + 1 / self.window)
+            self.window = min(self.most_set_ups, self.window + min(self.window, 1 / self.window))
 
     def failed(self, now):
         if (self.slow(now) or self.health.shared_trouble(now)) and now >= self.cut_at + self.cut_wait:
-            self.window = max(1.0, min(self.window, len(self.under_way)) / 2)
+            self.window = max(self.least_set_ups, min(self.window, max(1, len(self.under_way))) / 2)
             self.cut_at = now
-            self.actions.log(f"store: at most {self.window:.0f} set-ups at once")
+            self.space(now)
+            self.actions.log(f"store: at most {self.window:.2g} set-ups at once")
 
     def back(self, now, sess, outcome):
         self.under_way.pop(sess, None)
@@ -528,7 +542,8 @@
             self.failed(now)
         sess.ended = True
         if may_refuse(sess):
-            self.actions.refuse(sess, min(self.longest_wait, sess.listener.handshake_target))
+            wait = max(sess.listener.handshake_target, self.next_at - now)
+            self.actions.refuse(sess, min(self.longest_wait, wait))
         else:
             self.actions.tear_down(sess)
 
@@ -657,8 +672,10 @@
 class Dialling(Stage):
     """Sends one dial at a time, and judges how it ended."""
 
-    def __init__(self, actions, table, health, cold):
+    def __init__(self, actions, table, levels, health, cold, alive):
         super().__init__()
+        self.levels = levels
+        self.alive = alive
         self.actions = actions
         self.table = table
         self.health = health
@@ -670,7 +687,9 @@
         left = sess.deadline - now
         # A silent server must not hold a session until its client gives up, and a slow shared
         # store must not be asked twice: most of the time goes to the first dial, not all of it.
-        self.actions.dial(sess, sess.server, left * 0.6 if len(sess.dials) == 1 else left)
+        # One that has just answered a probe is not silent.
+        alive = self.levels.age(now, sess.server) < self.alive
+        self.actions.dial(sess, sess.server, left if alive or len(sess.dials) > 1 else left * 0.6)
 
     def accepted(self, now, sess):
         self.before.accepted(now, sess)
@@ -729,15 +748,15 @@
                                reach=64)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
-        self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=2000.0)
+        self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, proxies, start_share, cold_for, cold_multiple, cold_window)
-        admission = Admission(actions, self.health, longest_wait, most_set_ups=256, cut_wait=500.0,
-                              memory=5000.0)
+        admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
                                    self.probes, most_dials, most_asked=4, recent=self.TICK)
-        self.dialling = Dialling(actions, self.table, self.health, self.cold)
+        self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, alive=self.TICK)
         self.next_probes = deque()
         self.first = admission
         for earlier, later in ((admission, self.placement), (self.placement, self.dialling)):
