--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -18,7 +18,7 @@
             "overdue": Outcome.OVERDUE, "refused_conn": Outcome.CONNECT_FAILED, "severed": Outcome.RESET,
             "recalled": Outcome.CANCELLED, "superseded": Outcome.NEVER_SENT}
 REPORT_NAMES = {"waiting": "queue", "cpu": "util"}
-HINTED, RETURNING, MID_FLOW = 1, 16, 8
+HINTED, REPEAT, MID_FLOW, RETURNING = 1, 2, 8, 16
 LOAD_NOTICE, SLOW_NOTICE = 1, 2
 
 
@@ -82,7 +82,8 @@
         sess = Session(listener=self.listeners[listener] if known else Listener("", Repeat.ONCE_ONLY),
                        key=key or handle, deadline=now + (left or 0.0) * 1000, tenant=tenant or 0,
                        group=group, load=load if marks & HINTED else None,
-                       mid_flow=bool(marks & MID_FLOW), returning=bool(marks & RETURNING))
+                       mid_flow=bool(marks & MID_FLOW), returning=bool(marks & RETURNING),
+                       repeat=bool(marks & REPEAT))
         self.sessions[handle] = sess
         self.handles[sess] = handle
         return sess
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -97,7 +97,8 @@
     group: str | None = None
     load: float | None = None
     mid_flow: bool = False
-    returning: bool = False
+    returning: bool = False             # after a break or a move
+    repeat: bool = False                # its client tried before
     slot: int = 0
     server: Server | None = None        # of the dial that is out or accepted
     dials: list = field(default_factory=list)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -785,7 +785,9 @@
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
 
     def on_session(self, now, sess):
-        self.probes.session(self.roster.servers)
+        # Clients that come again pay for nothing: in trouble each comes many times.
+        if not (sess.repeat or sess.returning or sess.mid_flow):
+            self.probes.session(self.roster.servers)
         self.first.enter(now, sess)
 
     def on_open_session(self, now, sess, server):
