--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -882,7 +882,8 @@
             if load < (full if room else 1.0) or now < server.move_after:
                 continue
             excess = 1 - (0.75 if room else 1.0) * full / load
-            count = math.ceil(len(server.sessions) * (excess if load >= 1.0 else excess / 2))
+            # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
+            count = int(len(server.sessions) * (excess if load >= 1.0 else excess / 2) + self.uniform(0.0, 1.0))
             by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
             for sess in by_score[:count]:
                 self.actions.move(sess)
