--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -206,6 +206,26 @@
     return d.lines
 
 
+def told_late():
+    """Messages late at a server that this proxy cannot afford to probe: it is relieved and avoided."""
+    d = Drive(loads=dict.fromkeys(FLEET, 0.4), proxies=300)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    held = [d.accept(f"s{i}") for i in range(12)]
+    d.answers = False
+    d.until(8000.0)
+    late = held[0].server
+    d.balancer.on_notice(d.now, held[0], message_ms=held[0].listener.message_target)
+    d.say("just in time; then late:")
+    d.until(9000.0)
+    d.balancer.on_notice(d.now, held[0], message_ms=3 * held[0].listener.message_target)
+    d.until(10_000.0)
+    d.answers = True
+    sess = d.session("comes now", key=held[0].key)
+    d.until(11_000.0)
+    d.say(f"goes to the late server: {sess.server is late}")
+    return d.lines
+
+
 def asked_first():
     d = Drive(loads={"a": 0.9, "b": 0.9, "c": None, "d": 0.2}, proxies=300)
     d.list(*FLEET, kind=ListKind.CACHED)
@@ -286,7 +306,7 @@
 SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
-                                           asked_first, store_swamped, store_swamped_among_many,
+                                           told_late, asked_first, store_swamped, store_swamped_among_many,
                                            list_out_of_reach, odd_input)}
 
 
--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -46,6 +46,8 @@
                      handshake_target=item.get("handshakeTargetS", 0.5) * 1000,
                      dial_timeout=item.get("dialTimeoutS", 2.0) * 1000, utility=item.get("utility", 1.0))
             for item in config.get("listeners", [])]
+        for listener, target in zip(self.listeners, config.get("familyInfo", {}).get("messageAimS", [])):
+            listener.message_target = target * 1000
         report = config.get("report", {})
         reported = {"inline": True, "on_probe": limits.get("mayProbe", False)}
         names = report.get("names", []) if reported.get(report.get("how")) else []
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -76,6 +76,7 @@
     dialled: deque = field(default_factory=lambda: deque(maxlen=128))   # when
     credit: float = 0.0                 # dials that may go there while it is cold
     credited: float = 0.0               # when that was worked out
+    late: float = -math.inf             # when a message there was last said to miss its target
     shift_after: float = 0.0
     move_after: float = 0.0
     sessions: dict = field(default_factory=dict)    # open here, in order of arrival
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -211,7 +211,8 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, fresh, late, full):
+    def __init__(self, names, fresh, late, full, late_for):
+        self.late_for = late_for
         self.late = late
         self.full = full
         self.names = names
@@ -255,6 +256,10 @@
         since = server.samples[-1][0] - self.late
         return figure + sum(when > since for when in server.dialled) / self.bearable
 
+    def late_now(self, now, server):
+        """Told, free of any probe, that messages there miss their target: it is full, by how much unknown."""
+        return now - server.late < self.late_for
+
     def age(self, now, server):
         return now - server.samples[-1][0] if server.samples else math.inf
 
@@ -619,7 +624,7 @@
         so what the others sent meanwhile would be met blindly; a server that went silent shows as well.
         Not with little time left, and only a few a session: with none left, unknown ones are dialled."""
         return (self.probes.allowed and self.levels.of_capacity and sess.asked < self.most_asked
-                and self.levels.age(now, server) > self.recent
+                and self.levels.age(now, server) > self.recent and not self.levels.late_now(now, server)
                 and sess.deadline - now > sess.listener.dial_timeout / 2)
 
     def ask(self, now, sess, server):
@@ -653,7 +658,8 @@
     def has_room(self, now, sess, server):
         # One that holds the group takes its member for far less than one that does not.
         cheap = sess.group is None or server in self.table.holders.get(sess.group, ())
-        return self.levels.expected(now, server) < self.levels.full * (1.0 if cheap else 0.8)
+        return (self.levels.expected(now, server) < self.levels.full * (1.0 if cheap else 0.8)
+                and not self.levels.late_now(now, server))
 
     def dial(self, now, sess, server):
         sess.server = server
@@ -746,7 +752,8 @@
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price),
                                reach=64)
-        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8)
+        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8,
+                                 late_for=1.5 * self.TICK)
         self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, proxies, start_share, cold_for, cold_multiple, cold_window)
@@ -820,6 +827,8 @@
     def on_notice(self, now, sess, load=None, message_ms=None):
         if load is not None:
             sess.load = load
+        if message_ms is not None and message_ms > sess.listener.message_target and sess.server:
+            sess.server.late = now
 
     def on_probed(self, now, server, outcome, report):
         server.probed = None
@@ -878,12 +887,15 @@
         loads = {server: load for server, load in self.levels.figures(now, self.roster.servers).items()
                  if self.levels.of_capacity and not self.health.silent(server)}
         room = sum(full - load for load in loads.values()) > 0
-        for server, load in loads.items():
+        late = [server for server in self.roster.servers if self.levels.late_now(now, server)]
+        for server in dict.fromkeys(chain(loads, late)):
+            load = loads.get(server, 1.0)
             if load < (full if room else 1.0) or now < server.move_after:
                 continue
             excess = 1 - (0.75 if room else 1.0) * full / load
             # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
-            count = int(len(server.sessions) * (excess if load >= 1.0 else excess / 2) + self.uniform(0.0, 1.0))
+            share = excess if load >= 1.0 and server in loads else excess / 2
+            count = int(len(server.sessions) * share + self.uniform(0.0, 1.0))
             by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
             for sess in by_score[:count]:
                 self.actions.move(sess)
