--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -55,6 +55,7 @@
             self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers", 1)),
             report_names=[REPORT_NAMES.get(name, name) for name in names],
             may_probe=limits.get("mayProbe", False), must_ask=config.get("membershipMode") == "subscribe",
+            ask_every=duties.get("askEveryS", 10.0) * 1000,
             sized=config.get("weightSource") in ("nominal", "rough"),
             drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
             cold_for=duties.get("coldS", 20.0) * 1000, cold_multiple=duties.get("tipMultiple", 1.0),
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -280,7 +280,8 @@
 class Roster:
     """Follows the list of servers; tells who joined and who left."""
 
-    def __init__(self, actions, must_ask, drain_grace, sized, uniform):
+    def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform):
+        self.spread = spread
         self.actions = actions
         self.sized = sized
         self.must_ask = must_ask
@@ -291,6 +292,12 @@
         self.asked = None
         self.failures = 0
 
+    def begin(self, now):
+        """The list service is one for all and does not grow with them: a call by every proxy at the start
+        would be turned away for most, and their next ones too."""
+        if self.must_ask:
+            self.actions.alarm("follow", now + self.uniform(0.0, self.spread))
+
     def ask(self, now):
         if self.must_ask and not self.following and self.asked is None:
             self.asked = now
@@ -304,8 +311,9 @@
             self.following = False
             self.asked = None
             self.failures += 1
-            wait = min(8000.0, 500.0 * 2.0 ** min(self.failures, 5)) * self.uniform(0.5, 1.0)
-            self.actions.alarm("follow", now + wait)
+            longest = max(8000.0, 2 * self.spread)
+            wait = min(longest, max(500.0, self.spread / 2) * 2.0 ** min(self.failures, 5))
+            self.actions.alarm("follow", now + wait * self.uniform(0.5, 1.0))
             return [], []
         if kind is not ListKind.CACHED and self.asked is not None:
             self.following, self.asked, self.failures = True, None, 0
@@ -742,10 +750,11 @@
 
     TICK = 1000.0
     CONNECTION_LIFE = 10_000.0
+    LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
-    def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, drain_grace,
-                 sized, start_share, cold_for, cold_multiple, cold_window, most_dials, longest_wait,
-                 crossing_price, move_price):
+    def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
+                 drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
+                 longest_wait, crossing_price, move_price):
         self.actions = actions
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
@@ -754,7 +763,8 @@
                                reach=64)
         self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8,
                                  late_for=1.5 * self.TICK)
-        self.roster = Roster(actions, must_ask, drain_grace, sized, rng.uniform)
+        self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
+                             sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, proxies, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
@@ -776,7 +786,7 @@
         return min(8.0, max(1.0, crossing_price / (2 * move_price))) if move_price else 1.0
 
     def on_start(self, now):
-        self.roster.ask(now)
+        self.roster.begin(now)
         # Proxies that start together would otherwise probe every server in the same instant.
         self.actions.alarm("tick", now + self.uniform(0.1, 1.0) * self.TICK)
 
