--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -211,7 +211,7 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, fresh, late, full, late_for):
+    def __init__(self, names, proxies, fresh, late, full, late_for, floor):
         self.late_for = late_for
         self.late = late
         self.full = full
@@ -220,7 +220,11 @@
         # Load over capacity says most; a queue or a count of connections only orders the servers.
         self.source = next((name for name in ("x0", "util", "queue") if name in names), None)
         self.of_capacity = self.source in ("x0", "util")
-        self.bearable = 10.0
+        # Until some connections are held: this proxy's part of a few dozen in all.
+        self.bearable = 40.0 / proxies
+        # A proxy that has just started holds nothing on servers that others have loaded: without a floor it
+        # took each of its connections for a whole server and refused nearly all.
+        self.floor = floor
         self.base = 1.0 if self.source == "queue" else 0.25
 
     def sample(self, now, server, report):
@@ -240,12 +244,12 @@
                 if server.samples and server.samples[-1][0] > since}
 
     def learn(self, now, warm):
-        """Connections of this proxy that a warm server bears at full load, worked out once a tick."""
-        loads = self.figures(now, warm) if self.of_capacity else {}
-        load = max(sum(loads.values()), 0.05 * len(loads))
-        # A proxy that has just started holds nothing yet on servers that others have loaded: without a
-        # floor it took each of its connections for a whole server and refused nearly all.
-        self.bearable = max(5.0, sum(len(server.sessions) for server in loads) / load) if load else 10.0
+        """What a warm server bears at full load, in this proxy's own connections. A proxy among hundreds
+        holds less than one a server: only those on all together, over their mean load, tell it."""
+        loads = self.figures(now, warm).values() if self.of_capacity else ()
+        held = sum(len(server.sessions) for server in warm)
+        if held and loads:
+            self.bearable = held / len(warm) / max(0.05, fmean(loads))
 
     def expected(self, now, server):
         """The probed load with what this proxy has dialled since; 0 when nothing is known. Without
@@ -254,7 +258,7 @@
         if figure is None:
             return 0.0
         since = server.samples[-1][0] - self.late
-        return figure + sum(when > since for when in server.dialled) / self.bearable
+        return figure + sum(when > since for when in server.dialled) / max(self.floor, self.bearable)
 
     def late_now(self, now, server):
         """Told, free of any probe, that messages there miss their target: it is full, by how much unknown."""
@@ -429,26 +433,17 @@
 class ColdBudget:
     """Rule 4: this proxy's part of what a server that has just started can take."""
 
-    def __init__(self, uniform, proxies, start_share, cold_for, multiple, window):
+    def __init__(self, uniform, levels, start_share, cold_for, multiple, window):
         self.uniform = uniform
         self.start_share = start_share
         self.cold_for = cold_for
         self.multiple = multiple
         self.window = window
-        # What a warm server bears at full load, in this proxy's own connections; until some are held, the
-        # part of a few dozen in all.
-        self.bearable = 40.0 / proxies
+        self.levels = levels
 
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
-    def learn(self, warm, loads):
-        """A proxy among hundreds holds less than one connection a server: only those on all warm
-        servers together, over their mean load, tell what one bears."""
-        held = sum(len(server.sessions) for server in warm)
-        if held and loads:
-            self.bearable = held / len(warm) / max(0.05, fmean(loads))
-
     def joined(self, now, server):
         # The part of one proxy may be far below one session. Each starts with a part of one at random:
         # rounded up by all, a cold server would be pushed over, rounded down by all it would never fill.
@@ -461,7 +456,7 @@
         ready = self.start_share + (1 - self.start_share) * age / self.cold_for
         # A server fills over its warm-up at the fastest; a quarter of the budget is left for repeats,
         # probes and handshakes, and for what other proxies send when they know less.
-        rate = 0.75 * self.bearable / self.cold_for * ready * self.multiple
+        rate = 0.75 * self.levels.bearable / self.cold_for * ready * self.multiple
         most = max(1.0, rate * self.window / 4)
         server.credit = min(most, server.credit + rate * (now - server.credited))
         server.credited = now
@@ -761,12 +756,12 @@
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price),
                                reach=64)
-        self.levels = LoadLevels(report_names, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8,
-                                 late_for=1.5 * self.TICK)
+        self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8,
+                                 late_for=1.5 * self.TICK, floor=5.0)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
                              sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
-        self.cold = ColdBudget(rng.uniform, proxies, start_share, cold_for, cold_multiple, cold_window)
+        self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
                               least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
@@ -873,8 +868,6 @@
         self.table.close(now)
         warm = [server for server in self.roster.servers if not self.cold.cold(now, server)]
         self.levels.learn(now, warm)
-        if self.levels.of_capacity:
-            self.cold.learn(warm, self.levels.figures(now, warm).values())
         levels = self.levels.levels(now, self.roster.servers)
         shifted = self.table.halve(now, levels, self.CONNECTION_LIFE,
                                    lambda server: not self.health.ill(now, server)
