--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -745,6 +745,7 @@
 
     TICK = 1000.0
     CONNECTION_LIFE = 10_000.0
+    EARLY = 5000.0
     LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
@@ -813,6 +814,9 @@
 
     def on_outcome(self, now, sess, outcome, closed):
         self.forget(sess)
+        if outcome is Outcome.RESET and sess.accepted is not None and now - sess.accepted < self.EARLY:
+            self.health.dialled(now, sess.server, False)
+            self.first.failed(now)
         if closed or sess.ended:
             sess.ended = True
             self.first.under_way.pop(sess, None)
