--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -211,7 +211,8 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, proxies, fresh, late, full, late_for, floor):
+    def __init__(self, names, proxies, fresh, together, late, full, late_for, floor):
+        self.together = together
         self.late_for = late_for
         self.late = late
         self.full = full
@@ -234,7 +235,9 @@
                 server.samples.append((now, figure))
 
     def figure(self, now, server):
-        recent = [figure for when, figure in server.samples if when > now - self.fresh]
+        # Smoothed over two that lie close together: an older one says how it was before the rush.
+        since = max(now - self.fresh, server.samples[-1][0] - self.together) if server.samples else 0.0
+        recent = [figure for when, figure in server.samples if when > since]
         return fmean(recent) if recent else None
 
     def figures(self, now, servers):
@@ -761,7 +764,7 @@
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price),
                                reach=64)
-        self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, late=0.5 * self.TICK, full=0.8,
+        self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, late=0.5 * self.TICK, full=0.8,
                                  late_for=1.5 * self.TICK, floor=5.0)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
                              sized, rng.uniform)
