--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -775,7 +775,7 @@
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
-                                   self.probes, most_dials, most_asked=4, recent=self.TICK)
+                                   self.probes, most_dials, most_asked=4, recent=0.4 * self.TICK)
         self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, alive=self.TICK)
         self.next_probes = deque()
         self.first = admission
