--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -67,7 +67,8 @@
     started: float | None = None        # None: long ago
     phase: Phase = Phase.READY
     told: float = 0.0                   # when this proxy heard that it drains or is gone
-    scores: Sequence[float] = ()        # by slot, lower wins
+    draws: Sequence[int] = ()           # by slot, from its name
+    pull: float = 1.0                   # what they count for
     samples: deque = field(default_factory=lambda: deque(maxlen=2))     # (time, load figure)
     probed: float | None = None         # when the probe that is out was sent
     asked: float = -math.inf            # when the last probe was sent
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -10,11 +10,11 @@
 
 import hashlib
 import math
-import struct
+import sys
 from array import array
 from collections import deque
-from itertools import chain
-from math import log
+from itertools import chain, repeat
+from operator import truediv
 from statistics import fmean, median
 
 from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
@@ -24,10 +24,12 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big") % size
 
 
-def slot_scores(name, size):
-    """-ln of a uniform draw per slot: the lowest score over weight is the highest weighted hash."""
-    draws = struct.unpack(f">{size}I", hashlib.shake_128(name.encode()).digest(4 * size))
-    return array("f", [log(2**32 / (draw or 1)) for draw in draws])
+def slot_draws(name, size):
+    """A number per slot, the same on every machine: the lowest over weight is the highest weighted hash."""
+    draws = array("I", hashlib.shake_128(name.encode()).digest(4 * size))
+    if sys.byteorder == "big":
+        draws.byteswap()
+    return draws
 
 
 class SlotTable:
@@ -101,14 +103,16 @@
             self.exceptions.pop(sess.key, None)
             self.exceptions[sess.key] = (sess.server, now)
 
-    def pull(self, server):
+    def weigh(self, server):
         """What a server's hash counts for: its registered size. Exception: where crossing to another zone
         has a price, servers of the own zone weigh more; all proxies of a zone still fill alike."""
-        return server.weight * (self.near if server.zone == self.zone else 1.0)
+        if not server.draws:
+            server.draws = slot_draws(server.name, self.size)
+        server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
-    def best(self, slot, servers, factor=lambda server: 1.0):
-        return min(servers, default=None,
-                   key=lambda server: server.scores[slot] / (self.pull(server) * factor(server)))
+    @staticmethod
+    def best(slot, servers):
+        return min(servers, default=None, key=lambda server: server.draws[slot] / server.pull)
 
     def others(self, slot):
         """The servers that the slots after this one lead to, each once: whom to try where the slot's own
@@ -124,8 +128,7 @@
     def update(self, now, joined, left, live):
         # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
         for server in joined:
-            if not server.scores:
-                server.scores = slot_scores(server.name, self.size)
+            self.weigh(server)
         self.leave(left, live)
         self.join(now, joined)
 
@@ -133,12 +136,12 @@
         """Give joiners the slots that the highest hash gives them, about the mean count, whatever
         was shifted meanwhile: every proxy with the same list then arrives at the same slots. Only the
         joiners are compared with what stands: hundreds of servers are listed at once at the start."""
-        for server in joined:
-            pull = self.pull(server)
-            for slot, score in enumerate(server.scores):
-                if score < pull * self.lowest[slot]:
-                    self.lowest[slot] = score / pull
-                    self.home[slot] = server
+        scaled = [map(truediv, server.draws, repeat(server.pull)) for server in joined]
+        for slot, scores in enumerate(zip(*scaled)):
+            score = min(scores)
+            if score < self.lowest[slot]:
+                self.home[slot], self.lowest[slot] = joined[scores.index(score)], score
+        joined = dict.fromkeys(joined)
         for slot, server in enumerate(self.home):
             if server in joined and self.current[slot] is not server:
                 self.redirect(now, slot, server)
@@ -149,7 +152,7 @@
         for slot in range(self.size):
             if self.home[slot] in left:
                 self.home[slot] = home = self.best(slot, live)
-                self.lowest[slot] = home.scores[slot] / self.pull(home) if home else math.inf
+                self.lowest[slot] = home.draws[slot] / home.pull if home else math.inf
             if self.new[slot] in left:
                 self.clear(slot)
             if self.current[slot] in left:
@@ -185,9 +188,10 @@
         server.shift_after = now + wait
         # Which slots go, and where to, is settled by hash, so that proxies which see the same levels
         # shift alike and a connection that arrives mid-flow at another proxy still finds its server.
-        free.sort(key=lambda slot: -server.scores[slot])
+        free.sort(key=server.draws.__getitem__, reverse=True)
         for slot in free[:count]:
-            self.redirect(now, slot, self.best(slot, lower, lambda other: 2.0 ** (top - levels[other])))
+            self.redirect(now, slot, min(lower, key=lambda other: other.draws[slot] / other.pull
+                                         / 2.0 ** (top - levels[other])))
         return server, count
 
     def close(self, now):
@@ -236,9 +240,10 @@
 
     def figure(self, now, server):
         # Smoothed over two that lie close together: an older one says how it was before the rush.
-        since = max(now - self.fresh, server.samples[-1][0] - self.together) if server.samples else 0.0
-        recent = [figure for when, figure in server.samples if when > since]
-        return fmean(recent) if recent else None
+        if not server.samples or server.samples[-1][0] <= now - self.fresh:
+            return None
+        since = server.samples[-1][0] - self.together
+        return fmean([figure for when, figure in server.samples if when > since])
 
     def figures(self, now, servers):
         """Of those that have one: with hundreds of proxies each sees few servers at a time."""
@@ -421,6 +426,8 @@
         return server.silent >= 2
 
     def failing(self, now, server):
+        if not server.results:
+            return False
         recent = [(when, well) for when, well in server.results if when > now - self.memory]
         bad = [when for when, well in recent if not well]
         return len(bad) >= 2 and 3 * len(bad) >= len(recent) and now - bad[-1] < self.rest
@@ -764,8 +771,8 @@
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price),
                                reach=64)
-        self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, late=0.5 * self.TICK, full=0.8,
-                                 late_for=1.5 * self.TICK, floor=5.0)
+        self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK,
+                                 late=0.5 * self.TICK, full=0.8, late_for=1.5 * self.TICK, floor=5.0)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
                              sized, rng.uniform)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
@@ -795,7 +802,7 @@
 
     def on_list(self, now, kind, entries):
         joined, left = self.roster.update(now, kind, entries)
-        self.table.update(now, dict.fromkeys(joined), dict.fromkeys(left), self.roster.servers)
+        self.table.update(now, joined, dict.fromkeys(left), self.roster.servers)
         for server in joined:
             # In unlike order at each proxy, or all would probe the same servers first.
             server.asked = now - self.uniform(1.0, 2.0) * self.CONNECTION_LIFE
@@ -910,7 +917,7 @@
             # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
             share = excess if load >= 1.0 and server in loads else excess / 2
             count = int(len(server.sessions) * share + self.uniform(0.0, 1.0))
-            by_score = sorted(server.sessions, key=lambda sess: -server.scores[sess.slot])
+            by_score = sorted(server.sessions, key=lambda sess: -server.draws[sess.slot])
             for sess in by_score[:count]:
                 self.actions.move(sess)
             if count:
