--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -673,8 +673,10 @@
                 and self.cold.allows(now, server))
 
     def has_room(self, now, sess, server):
-        # One that holds the group takes its member for far less than one that does not.
-        cheap = sess.group is None or server in self.table.holders.get(sess.group, ())
+        # One that holds the group takes its member for far less than one that does not. Where none is held
+        # through this proxy, among hundreds it is most likely held through others, where its slot leads.
+        holders = self.table.holders.get(sess.group, (self.table.home[sess.slot],))
+        cheap = sess.group is None or server in holders
         return (self.levels.expected(now, server) < self.levels.full * (1.0 if cheap else 0.8)
                 and not self.levels.late_now(now, server))
 
