--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -917,7 +917,7 @@
                 continue
             excess = 1 - (0.75 if room else 1.0) * full / load
             # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
-            share = excess if load >= 1.0 and server in loads else excess / 2
+            share = excess if load >= 1.0 else excess / 2
             count = int(len(server.sessions) * share + self.uniform(0.0, 1.0))
             by_score = sorted(server.sessions, key=lambda sess: -server.draws[sess.slot])
             for sess in by_score[:count]:
