--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -508,8 +508,9 @@
     """
 
     def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
-                 memory):
+                 hold, memory):
         super().__init__()
+        self.hold = hold
         self.actions = actions
         self.uniform = uniform
         self.health = health
@@ -548,7 +549,7 @@
         self.set_ups.append((now, (now - sess.dials[-1].sent) / target))
         if self.slow(now):
             self.failed(now)
-        else:
+        elif now >= self.cut_at + self.hold:
             self.window = min(self.most_set_ups, self.window + min(self.window, 1 / self.window))
 
     def failed(self, now):
@@ -780,7 +781,7 @@
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
-                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, memory=5000.0)
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=2000.0, memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
