--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -781,7 +781,7 @@
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
-                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=2000.0, memory=5000.0)
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY, memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
