--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -675,10 +675,13 @@
 
     def has_room(self, now, sess, server):
         # One that holds the group takes its member for far less than one that does not. Where none is held
-        # through this proxy, among hundreds it is most likely held through others, where its slot leads.
-        holders = self.table.holders.get(sess.group, (self.table.home[sess.slot],))
-        cheap = sess.group is None or server in holders
-        return (self.levels.expected(now, server) < self.levels.full * (1.0 if cheap else 0.8)
+        # through this proxy, among hundreds it is likely held through others, where its slot leads.
+        holders = self.table.holders.get(sess.group)
+        if sess.group is None or holders and server in holders:
+            part = 1.0
+        else:
+            part = 0.9 if not holders and server is self.table.home[sess.slot] else 0.8
+        return (self.levels.expected(now, server) < self.levels.full * part
                 and not self.levels.late_now(now, server))
 
     def dial(self, now, sess, server):
@@ -781,7 +784,8 @@
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
-                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY, memory=5000.0)
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY,
+                              memory=5000.0)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
