--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -508,7 +508,7 @@
     """
 
     def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
-                 hold, memory):
+                 hold):
         super().__init__()
         self.hold = hold
         self.actions = actions
@@ -519,17 +519,10 @@
         self.least_set_ups = least_set_ups
         self.pause = pause
         self.cut_wait = cut_wait
-        self.memory = memory
         self.window = float(most_set_ups)
         self.cut_at = -math.inf
         self.next_at = -math.inf
         self.under_way = {}
-        self.set_ups = deque(maxlen=8)      # (when, time taken over handshake target)
-
-    def slow(self, now):
-        """The last set-ups took longer than their handshake target, wherever they went."""
-        recent = [share for when, share in self.set_ups if when > now - self.memory]
-        return len(recent) >= 4 and median(recent) > 1.0
 
     def enter(self, now, sess):
         full = len(self.under_way) >= max(1.0, self.window) or now < self.next_at
@@ -545,15 +538,11 @@
 
     def accepted(self, now, sess):
         self.under_way.pop(sess, None)
-        target = max(1.0, sess.listener.handshake_target)
-        self.set_ups.append((now, (now - sess.dials[-1].sent) / target))
-        if self.slow(now):
-            self.failed(now)
-        elif now >= self.cut_at + self.hold:
+        if now >= self.cut_at + self.hold:
             self.window = min(self.most_set_ups, self.window + min(self.window, 1 / self.window))
 
     def failed(self, now):
-        if (self.slow(now) or self.health.shared_trouble(now)) and now >= self.cut_at + self.cut_wait:
+        if self.health.shared_trouble(now) and now >= self.cut_at + self.cut_wait:
             self.window = max(self.least_set_ups, min(self.window, max(1, len(self.under_way))) / 2)
             self.cut_at = now
             self.space(now)
@@ -784,8 +773,7 @@
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
-                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY,
-                              memory=5000.0)
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
