--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -379,12 +379,11 @@
 class Probes:
     """Sends probes: the asked ones, and within what sessions pay for a round over the fleet."""
 
-    def __init__(self, actions, allowed, a_session, every, calm, near_full):
+    def __init__(self, actions, allowed, a_session, every, near_full):
         self.actions = actions
         self.allowed = allowed
         self.a_session = a_session
         self.every = every
-        self.calm = calm
         self.near_full = near_full
         self.earned = 0.0
 
@@ -400,12 +399,11 @@
             self.actions.probe(server)
 
     def due(self, now, servers, figures):
-        """Those near full first, then those not asked for longest; far from full ones half as often."""
+        """Those near full first, then those not asked for longest."""
         if not self.allowed or self.earned < 1.0:
             return []
         near = {server: None for server, figure in figures.items() if figure > self.near_full}
-        due = [server for server in servers if server.probed is None and now - server.asked >=
-               self.every * (self.calm if server in figures and server not in near else 1)]
+        due = [server for server in servers if server.probed is None and now - server.asked >= self.every]
         return sorted(due, key=lambda server: (server not in near, server.asked))[:int(self.earned)]
 
 
@@ -774,7 +772,7 @@
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
                               least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
-        self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK, calm=2.0,
+        self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
                                    self.probes, most_dials, most_asked=4, recent=0.4 * self.TICK)
