--- a/tests/drive.py
+++ b/tests/drive.py
@@ -114,6 +114,9 @@
                 self.balancer.on_outcome(self.now, sess, Outcome.COMPLETED, True)
             self.loud = loud
 
+    def ended(self, name):
+        return next(sess.ended for sess, known in self.names.items() if known == name)
+
     def shares(self):
         table = self.balancer.table
         for name, server in sorted(self.servers.items()):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -122,6 +122,21 @@
     return d.lines
 
 
+def odd_sizes():
+    for count, proxies in ((0, 1), (1, 1), (150, 1), (150, 100_000), (600, 300)):
+        d = Drive(loads={f"s{i}": 0.3 + 0.4 * (i % 2) for i in range(count)}, proxies=proxies)
+        d.loud = False
+        d.list(*d.loads, kind=ListKind.FULL)
+        d.pass_time(15_000.0)
+        d.list("cold", ("cold", d.now))
+        d.pass_time(30_000.0)
+        d.list(kind=ListKind.FULL)
+        d.session("nobody left")
+        d.loud = True
+        d.say(f"{count} servers, {proxies} proxies: {d.probes} probes, nobody left {d.ended('nobody left')}")
+        yield from d.lines
+
+
 def few_figures():
     """Unlike loads, but most servers are unknown: nothing says that the level seen is a high one."""
     d = Drive(loads={"a": 0.7, "b": 0.3})
@@ -314,7 +329,7 @@
     return d.lines
 
 
-SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures, few_figures,
+SCENARIOS = {run.__name__: run for run in (ordinary_path, join_and_leave, drain, repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
                                            told_late, asked_first, store_swamped, store_swamped_among_many,
@@ -323,7 +338,7 @@
 
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_trace(name):
-    assert kept(name, SCENARIOS[name]())
+    assert kept(name, list(SCENARIOS[name]()))
 
 
 START = ["start", "p/0", 1, {"listeners": [], "balancers": 1}]
