--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -52,7 +52,7 @@
         reported = {"inline": True, "on_probe": limits.get("mayProbe", False)}
         names = report.get("names", []) if reported.get(report.get("how")) else []
         self.balancer = Balancer(
-            self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers", 1)),
+            self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers") or 1),
             report_names=[REPORT_NAMES.get(name, name) for name in names],
             may_probe=limits.get("mayProbe", False), must_ask=config.get("membershipMode") == "subscribe",
             ask_every=duties.get("askEveryS", 10.0) * 1000,
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -637,7 +637,8 @@
         self.waiting.setdefault(server, {})[sess] = None
         self.waits += 1
         self.patience[self.waits] = sess, server
-        self.actions.alarm(f"wait {self.waits}", now + sess.listener.handshake_target / 4)
+        patience = min(sess.listener.handshake_target, sess.deadline - now) / 4
+        self.actions.alarm(f"wait {self.waits}", now + patience)
         self.probes.send(now, server)
 
     def answered(self, now, server, well):
@@ -753,6 +754,7 @@
     TICK = 1000.0
     CONNECTION_LIFE = 10_000.0
     EARLY = 5000.0
+    MOVE_FROM = 0.9
     LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
@@ -893,8 +895,8 @@
 
     def relieve(self, now):
         """Exception: polite moves off an overdriven server. Shifted slots only help sessions to come, and
-        connections outlive the trouble. They act from the load at which messages are late while other
-        servers have room, and from full capacity in any case: past it nobody there is served, and those
+        connections outlive the trouble. They act from the load at which messages miss while other servers
+        have room, and from full capacity in any case: past it nobody there is served, and those
         who must wait outside cost less. Whole slots go, so that a group is not spread; half the excess
         at a time, since reports lag behind the moves, but all of it past full capacity."""
         full = self.levels.full
@@ -904,7 +906,7 @@
         late = [server for server in self.roster.servers if self.levels.late_now(now, server)]
         for server in dict.fromkeys(chain(loads, late)):
             load = loads.get(server, 1.0)
-            if load < (full if room else 1.0) or now < server.move_after:
+            if load < (self.MOVE_FROM if room else 1.0) or now < server.move_after:
                 continue
             excess = 1 - (0.75 if room else 1.0) * full / load
             # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
