--- a/tests/drive.py
+++ b/tests/drive.py
@@ -16,7 +16,7 @@
 USUAL = dict(zone=0, proxies=2, report_names=["x0"], may_probe=True, must_ask=False, ask_every=10_000.0,
              drain_grace=500.0, sized=True, start_share=0.2, cold_for=10_000.0,
              cold_multiple=3.0, cold_window=1000.0, most_dials=3, longest_wait=1000.0,
-             crossing_price=0.0, move_price=0.0)
+             crossing_price=0.0, move_price=0.0, passes_through=True)
 
 
 class Drive:
--- /dev/null
+++ b/wheathill/__main__.py
@@ -0,0 +1,49 @@
+"""One proxy: `python -m wheathill`, told what it needs by NODE_CONFIG."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from wheathill.config import Misconfigured, read_node
+from wheathill.net.clock import Clock
+from wheathill.net.driver import Carrier
+from wheathill.net.log import Log
+from wheathill.net.proxy import Proxy
+
+
+async def serve(node, log):
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: log(
+        "fault", what=repr(context.get("exception") or context["message"]), where=str(context.get("handle"))))
+    clock = Clock(loop)
+    carrier = Carrier(loop, node.limits, log)
+    proxy = Proxy(node, carrier, clock, log)
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
+    try:
+        await carrier.listen(proxy.client, node.listen)
+    except OSError as wrong:
+        raise Misconfigured(f"listen: {wrong}") from None
+    log("listening", at=":".join(map(str, node.listen)))
+    proxy.start()
+    await stopped.wait()
+
+
+def main():
+    try:
+        node = read_node(os.environ)
+        log = Log(node.name, node.limits.log_lines)
+        try:
+            asyncio.run(serve(node, log))
+        finally:
+            log.close()
+    except Misconfigured as wrong:
+        print(wrong, file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wheathill/config.py
@@ -0,0 +1,205 @@
+"""The one place where configuration is read, checked and given defaults, for drill and proxy alike.
+
+Whatever is wrong is raised as `Misconfigured`, whose text names the key by its path.
+"""
+
+import json
+import math
+from dataclasses import dataclass
+
+from wheathill.model import Listener, Repeat
+
+REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
+SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
+# The figures of a load report: the settings' words -> the design's.
+REPORT_NAMES = {"waiting": "queue", "cpu": "util"}
+
+
+class Misconfigured(Exception):
+    pass
+
+
+class Reader:
+    """One JSON object and its path. An absent or null value gives the default."""
+
+    def __init__(self, values, path=""):
+        if not isinstance(values, dict):
+            raise Misconfigured(f"{path or 'the configuration'}: must be an object")
+        self.values = values
+        self.path = path
+
+    def at(self, key):
+        return f"{self.path}.{key}" if self.path else key
+
+    def get(self, key, default, kinds, what):
+        value = self.values.get(key)
+        if value is None:
+            if default is None:
+                raise Misconfigured(f"{self.at(key)}: is missing")
+            return default
+        if not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds:
+            raise Misconfigured(f"{self.at(key)}: must be {what}")
+        return value
+
+    def number(self, key, default, least=0.0, most=math.inf):
+        value = self.get(key, default, (int, float), "a number")
+        if not least <= value <= most:
+            raise Misconfigured(f"{self.at(key)}: {value} is not within {least:g} and {most:g}")
+        return value
+
+    def ms(self, key, default):
+        """Settings give seconds; inside the project times are milliseconds."""
+        return self.number(key, default / 1000) * 1000
+
+    def count(self, key, default, least=0):
+        return int(self.number(key, default, least, 2 ** 53))
+
+    def flag(self, key, default=False):
+        return self.get(key, default, (bool,), "true or false")
+
+    def text(self, key, default=None):
+        return self.get(key, default, (str,), "text")
+
+    def choice(self, key, choices, default):
+        value = self.text(key, default)
+        if value not in choices:
+            raise Misconfigured(f"{self.at(key)}: {value!r} is none of {', '.join(choices)}")
+        return choices[value]
+
+    def list(self, key):
+        return self.get(key, [], (list,), "an array")
+
+    def texts(self, key):
+        for place, value in enumerate(self.list(key)):
+            if not isinstance(value, str):
+                raise Misconfigured(f"{self.at(key)}[{place}]: must be text")
+        return self.list(key)
+
+    def numbers(self, key):
+        for place, value in enumerate(self.list(key)):
+            if isinstance(value, bool) or not isinstance(value, (int, float)):
+                raise Misconfigured(f"{self.at(key)}[{place}]: must be a number")
+        return self.list(key)
+
+    def part(self, key):
+        return Reader(self.get(key, {}, (dict,), "an object"), self.at(key))
+
+    def parts(self, key):
+        return [Reader(value, f"{self.at(key)}[{place}]") for place, value in enumerate(self.list(key))]
+
+
+def read_listeners(settings):
+    listeners = [
+        Listener(name=item.text("name", ""), repeat=item.choice("repeat", REPEATS, "fragile"),
+                 scope=item.choice("dedupScope", SCOPES, "cell"), window=item.ms("windowS", 0.0),
+                 handshake_target=item.ms("handshakeTargetS", 500.0),
+                 dial_timeout=item.ms("dialTimeoutS", 2000.0), utility=item.number("utility", 1.0))
+        for item in settings.parts("listeners")]
+    for listener, target in zip(listeners, settings.part("familyInfo").numbers("messageAimS")):
+        listener.message_target = target * 1000
+    return listeners
+
+
+def balancer_settings(settings):
+    """What a Balancer is made with, beside its actions and its source of chance."""
+    limits = settings.part("limits")
+    duties = settings.part("obligations")
+    prices = settings.part("prices")
+    report = settings.part("report")
+    may_probe = limits.flag("mayProbe")
+    reported = {"inline": True, "on_probe": may_probe}.get(report.text("how", "off"), False)
+    return {
+        "zone": settings.count("zone", 0), "proxies": max(1, settings.count("balancers", 1)),
+        "report_names": [REPORT_NAMES.get(name, name) for name in report.texts("names")] if reported else [],
+        "may_probe": may_probe, "must_ask": settings.text("membershipMode", "automatic") == "subscribe",
+        "ask_every": duties.ms("askEveryS", 10_000.0),
+        "sized": settings.text("weightSource", "off") in ("nominal", "rough"),
+        "drain_grace": duties.ms("drainGraceS", 0.0), "start_share": duties.number("startCapacity", 0.1),
+        "cold_for": duties.ms("coldS", 20_000.0), "cold_multiple": duties.number("tipMultiple", 1.0),
+        "cold_window": duties.ms("tipAfterS", 1000.0), "most_dials": limits.count("maxDials", 1),
+        "crossing_price": prices.number("crossZone", 0.0), "move_price": prices.number("moves", 0.0),
+        "longest_wait": limits.ms("maxRetryAfterS", 0.0) if limits.flag("retryAfter") else 0.0,
+        "passes_through": settings.part("familyInfo").text("mode", "proxy") == "pass"}
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Sizes in bytes, counts, and times in milliseconds, of one proxy."""
+
+    sockets: int                        # descriptors, all told
+    connect: float                      # for a connection to come up
+    longest_dial: float                 # the longest dial timeout of any listener
+    idle: float                         # a link for probes that is not used is closed
+    spare_sockets: int = 48             # descriptors kept for files, probes, discovery and refusals
+    probe_links: int = 64
+    line: int = 4096
+    read: int = 65536                   # the one receive buffer
+    buffer: int = 65536                 # held for a peer that does not read, each way
+    line_in: float = 5000.0             # for a client's first line
+    linger: float = 1000.0              # for the peer's end after ours
+    answer_margin: float = 15.0         # before a session's deadline, for its answer to get out
+    probe: float = 500.0
+    standing: float = 40_000.0          # for connections from before the start to come up again
+    list_line: int = 4 * 2 ** 20        # one line of a watch
+    list_wait: float = 1000.0           # for discovery's first answer, before the known list has to do
+    list_silence: float = 5000.0        # a watch that says nothing for so long is opened again
+    list_retry: float = 250.0
+    unanswered: float = 1000.0          # a line without an answer is reported from then on
+    sweep: float = 250.0
+    newcomers: float = 500.0            # after the order to stop, clients still come for so long
+    stop_margin: float = 600.0          # beyond the longest dial, for a proxy that stops
+    log_lines: int = 10_000             # held for a reader that does not read
+    figures: float = 10_000.0           # how often counts are logged
+
+
+@dataclass(frozen=True)
+class Node:
+    """What one proxy is told at its start."""
+
+    name: str
+    listen: tuple
+    discovery: tuple
+    seed: str
+    limits: Limits
+    known: dict
+    listeners: list
+    tenants: list
+    zones: list
+    groups: bool
+    report_fields: list
+    balancer: dict
+
+
+def address(text, path):
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise Misconfigured(f"{path}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def read_node(environ):
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise Misconfigured("NODE_CONFIG: is missing")
+    try:
+        with open(path, "rb") as source:
+            top = Reader(json.load(source))
+    except (OSError, ValueError) as wrong:
+        raise Misconfigured(f"NODE_CONFIG: {path}: {wrong}") from None
+    settings = top.part("settings")
+    allowed = top.part("limits")
+    listeners = read_listeners(settings)
+    if not listeners:
+        raise Misconfigured("settings.listeners: names none")
+    where = {key: address(top.text(key, environ.get("NODE_" + key.upper())), key)
+             for key in ("listen", "discovery")}
+    return Node(
+        name=top.text("name", environ.get("NODE_NAME")), **where, seed=top.text("seed"),
+        limits=Limits(sockets=allowed.count("sockets", 1024, least=64),
+                      connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
+                      longest_dial=max(listener.dial_timeout for listener in listeners),
+                      idle=settings.part("limits").ms("idleCloseS", 30_000.0)),
+        known=top.part("known").values, listeners=listeners,
+        tenants=[item.text("name", "") for item in settings.parts("tenants")],
+        zones=settings.texts("dcs"), groups=settings.part("familyInfo").flag("groups"),
+        report_fields=settings.part("report").texts("names"), balancer=balancer_settings(settings))
--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -3,21 +3,19 @@
 Ids become objects at this door; nothing is decided here.
 """
 
-import base64
 import json
 import random
 import sys
 
+from wheathill.config import Misconfigured, Reader, balancer_settings, read_listeners
 from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat, Server, Session
 from wheathill.policy import Balancer
 
-REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
 PHASES = {3: Phase.READY, 0: Phase.DRAINING, 2: Phase.GONE}
 LIST_KINDS = {0: ListKind.CHANGES, 1: ListKind.FULL, 2: ListKind.CACHED, 3: ListKind.FAILED}
 OUTCOMES = {"completed": Outcome.COMPLETED, "errored": Outcome.ERROR, "saturated": Outcome.FULL,
             "overdue": Outcome.OVERDUE, "refused_conn": Outcome.CONNECT_FAILED, "severed": Outcome.RESET,
             "recalled": Outcome.CANCELLED, "superseded": Outcome.NEVER_SENT}
-REPORT_NAMES = {"waiting": "queue", "cpu": "util"}
 HINTED, REPEAT, MID_FLOW, RETURNING = 1, 2, 8, 16
 LOAD_NOTICE, SLOW_NOTICE = 1, 2
 
@@ -38,31 +36,9 @@
         self.balancer = None
 
     def start(self, now, seed, config):
-        limits = config.get("limits", {})
-        duties = config.get("obligations", {})
-        self.listeners = [
-            Listener(name=item.get("name", ""), repeat=REPEATS.get(item.get("repeat"), Repeat.ONCE_ONLY),
-                     scope=item.get("dedupScope", "cell"), window=item.get("windowS", 0.0) * 1000,
-                     handshake_target=item.get("handshakeTargetS", 0.5) * 1000,
-                     dial_timeout=item.get("dialTimeoutS", 2.0) * 1000, utility=item.get("utility", 1.0))
-            for item in config.get("listeners", [])]
-        for listener, target in zip(self.listeners, config.get("familyInfo", {}).get("messageAimS", [])):
-            listener.message_target = target * 1000
-        report = config.get("report", {})
-        reported = {"inline": True, "on_probe": limits.get("mayProbe", False)}
-        names = report.get("names", []) if reported.get(report.get("how")) else []
-        self.balancer = Balancer(
-            self, random.Random(seed), zone=config.get("zone", 0), proxies=max(1, config.get("balancers") or 1),
-            report_names=[REPORT_NAMES.get(name, name) for name in names],
-            may_probe=limits.get("mayProbe", False), must_ask=config.get("membershipMode") == "subscribe",
-            ask_every=duties.get("askEveryS", 10.0) * 1000,
-            sized=config.get("weightSource") in ("nominal", "rough"),
-            drain_grace=duties.get("drainGraceS", 0.0) * 1000, start_share=duties.get("startCapacity", 0.1),
-            cold_for=duties.get("coldS", 20.0) * 1000, cold_multiple=duties.get("tipMultiple", 1.0),
-            cold_window=duties.get("tipAfterS", 1.0) * 1000, most_dials=limits.get("maxDials", 1),
-            crossing_price=config.get("prices", {}).get("crossZone", 0.0),
-            move_price=config.get("prices", {}).get("moves", 0.0),
-            longest_wait=limits.get("maxRetryAfterS", 0.0) * 1000 if limits.get("retryAfter") else 0.0)
+        settings = Reader(config)
+        self.listeners = read_listeners(settings)
+        self.balancer = Balancer(self, random.Random(seed), **balancer_settings(settings))
         self.balancer.on_start(now)
 
     def list_changed(self, now, scope, _version, lines):
@@ -128,7 +104,7 @@
             self.balancer.on_probed(now, self.servers[name], OUTCOMES.get(code, Outcome.ERROR), report)
 
     def peer(self, now, peer, message):
-        self.balancer.on_peer(now, peer, base64.b64decode(message or ""))
+        """Nothing is told to other proxies yet, so nothing can be heard."""
 
     def alarm_rang(self, now, name):
         self.balancer.on_alarm(now, name)
@@ -151,27 +127,15 @@
         self.order("error", self.handles[sess])
         self.forget(sess)
 
-    def cancel(self, sess, dial):
-        self.order("retract", self.handles[sess], dial)
-
     def move(self, sess):
         self.order("relocate", self.handles[sess])
 
     def probe(self, server):
         self.order("sample", server.name)
 
-    def close_idle(self, server):
-        self.order("freeLinks", server.name)
-
     def follow_list(self, on):
         self.order("follow", on)
 
-    def fetch_list(self):
-        self.order("snapshot")
-
-    def tell(self, peer, message):
-        self.order("broadcastTo", -1 if peer is None else peer, base64.b64encode(message).decode())
-
     def alarm(self, name, at):
         self.order("timer", name, at / 1000)
 
@@ -228,7 +192,7 @@
             check(batch)
             for event in batch["happened"]:
                 take(doors, batch["tS"] * 1000, event, orders)
-        except Malformed as wrong:
+        except (Malformed, Misconfigured) as wrong:
             print(f"line {number}: {wrong}", file=sys.stderr)
             return 2
         out.write(json.dumps({"orders": orders}, separators=(",", ":")) + "\n")
--- /dev/null
+++ b/wheathill/net/client.py
@@ -0,0 +1,118 @@
+"""A client's connection: its first line, the wait for an answer, then lines in both directions."""
+
+from wheathill.net.lines import END, Head, Lines, Malformed
+
+
+class Client:
+    """Fed bytes by its wire. `door` is told of the session, `dial` is the server's side once there is one."""
+
+    def __init__(self, wire, door, limits, clock):
+        self.wire = wire
+        self.door = door
+        self.limits = limits
+        self.clock = clock
+        self.lines = Lines(limits.line)
+        self.head = None
+        self.sess = None
+        self.dial = None        # the one that is out or up
+        self.early = b""        # sent by the client before its session was up
+        self.up = False
+        self.moving = False
+        self.asked = None       # when the oldest line without an answer went to the server
+        self.timer = None
+
+    def connected(self):
+        self.set_timer(self.limits.line_in, self.no_line)
+        self.door.came(self)
+
+    def set_timer(self, wait, call):
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.clock.after(wait, call)
+
+    def received(self, data):
+        if self.up:
+            if self.asked is None:
+                self.asked = self.clock.now()
+            self.dial.wire.send(bytes(data))
+        elif self.head is not None:
+            self.early += data
+            if len(self.early) > self.limits.buffer:
+                self.wire.hold(True)
+        else:
+            self.lines.feed(data)
+            self.read_head()
+
+    def read_head(self):
+        try:
+            while self.head is None and (line := self.lines.next()) is not None:
+                if line == b"PING":
+                    self.wire.send(b"PONG" if self.door.ready else b"ERR", END)
+                else:
+                    self.head = Head(line)
+                    self.timer.cancel()
+                    self.early = self.lines.rest
+                    self.door.opened(self)
+        except Malformed as wrong:
+            self.door.bad_client(self, str(wrong))
+
+    def no_line(self):
+        self.door.bad_client(self, "no line in time")
+
+    def serve(self, dial, line):
+        """The server's UP line and what came along with it."""
+        self.up = True
+        self.wire.send(line)
+        if self.early:
+            self.asked = self.clock.now()
+            dial.wire.send(self.early)
+            self.early = b""
+            self.wire.hold(False)
+
+    def answered(self):
+        """The server has sent a line back."""
+        if self.asked is not None:
+            asked, self.asked = self.asked, None
+            self.door.message_took(self, self.clock.now() - asked)
+
+    def answer(self, *parts):
+        """The final answer of a session that is not up; nothing goes out after it."""
+        self.timer.cancel()
+        self.wire.send(*parts, END)
+        self.wire.part()
+
+    def move(self):
+        """Between two lines only: half a line from the server is waited for, within reason."""
+        self.moving = not self.dial.between_lines
+        if self.moving:
+            self.set_timer(self.limits.linger, self.dial.close)
+            return False
+        self.dial.timer.cancel()
+        self.answer(b"MOVE")
+        self.dial.wire.part()
+        return True
+
+    def blocked(self, on):
+        if self.up:
+            self.dial.wire.hold(on)
+
+    def ended(self):
+        if self.up:
+            self.dial.wire.finish()
+            self.dial.set_timer(self.limits.linger, self.dial.close)
+        else:
+            # Nobody can wait for an answer with half a connection here: UP needs both directions.
+            self.door.hung_up(self)
+            self.answer(b"ERR")
+
+    def lost(self, reset):
+        self.timer.cancel()
+        self.door.hung_up(self)
+        if self.up:
+            self.dial.wire.abort(reset=reset)
+
+    def fault(self):
+        self.lost(True)
+        if not self.up:
+            self.answer(b"ERR")
+        self.wire.abort(reset=self.up)
--- /dev/null
+++ b/wheathill/net/driver.py
@@ -0,0 +1,168 @@
+"""The only code that touches sockets: carries bytes between a connection and its state machine.
+
+A machine has five methods: `connected()`, `received(data)` where data is only good until it returns,
+`ended()` when the peer sends no more, `blocked(on)` while too much waits to be sent, and `lost(reset)`,
+the last one, also for a connection that never came up.
+"""
+
+import asyncio
+import socket
+import struct
+
+
+class Carrier:
+    """What all connections of a proxy share: the loop, one receive buffer, and the count of sockets."""
+
+    def __init__(self, loop, limits, log):
+        self.loop = loop
+        self.limits = limits
+        self.log = log
+        # One is enough: a machine has consumed what came before the next read begins.
+        self.buffer = memoryview(bytearray(limits.read))
+        self.sockets = 0
+
+    @property
+    def free(self):
+        return self.limits.sockets - self.limits.spare_sockets - self.sockets
+
+    async def listen(self, make_machine, address):
+        return await self.loop.create_server(lambda: Wire(self, make_machine), *address, backlog=1024)
+
+    def connect(self, machine, address):
+        wire = Wire(self, lambda _: machine)
+        wire.task = self.loop.create_task(wire.connect(address))
+        return wire
+
+
+class Wire(asyncio.BufferedProtocol):
+    def __init__(self, carrier, make_machine):
+        self.carrier = carrier
+        self.machine = make_machine(self)
+        self.transport = None
+        self.task = None
+        self.full = False
+        self.finished = False       # we send no more
+        self.ended = False          # the peer sends no more
+        self.parted = False         # the machine is done with it
+        self.over = False
+
+    async def connect(self, address):
+        # Counted from the start: a connection that is being set up holds a descriptor.
+        self.carrier.sockets += 1
+        try:
+            await self.carrier.loop.create_connection(lambda: self, *address)
+        except OSError:
+            self.carrier.sockets -= 1
+            self.tell_lost(False)
+        except BaseException:
+            if self.transport is None:
+                self.carrier.sockets -= 1
+            raise
+        finally:
+            self.task = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        if self.task is None:
+            self.carrier.sockets += 1
+        if self.over:
+            transport.abort()
+            return
+        # Nothing may lie in the buffer unnoticed: a line counts as sent when its last byte has left.
+        transport.set_write_buffer_limits(high=0)
+        self.guard(self.machine.connected)
+
+    def get_buffer(self, _hint):
+        return self.carrier.buffer
+
+    def buffer_updated(self, count):
+        if not self.parted:
+            self.guard(self.machine.received, self.carrier.buffer[:count])
+
+    def eof_received(self):
+        self.ended = True
+        if not self.parted:
+            self.guard(self.machine.ended)
+        # Once both sides have finished the connection closes; until then the other direction goes on.
+        return not self.finished
+
+    def pause_writing(self):
+        self.full = True
+        self.guard(self.machine.blocked, True)
+
+    def resume_writing(self):
+        self.full = False
+        self.guard(self.machine.blocked, False)
+
+    def connection_lost(self, wrong):
+        self.carrier.sockets -= 1
+        self.tell_lost(wrong is not None)
+
+    def tell_lost(self, reset):
+        if not self.over and not self.parted:
+            self.guard(self.machine.lost, reset)
+        self.over = True
+
+    def guard(self, call, *args):
+        """A fault in one connection's callback ends that connection, with an answer, and no other."""
+        try:
+            call(*args)
+        except Exception as wrong:
+            self.carrier.log("fault", where=getattr(call, "__qualname__", str(call)), what=repr(wrong),
+                             line=fault_line(wrong))
+            self.machine.fault()
+
+    @property
+    def open(self):
+        return self.transport is not None and not self.over and not self.parted
+
+    @property
+    def drained(self):
+        """The last byte has left. A transport that failed has emptied its buffer too."""
+        return not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+
+    def send(self, *parts):
+        if self.open and not self.finished:
+            self.transport.writelines(parts)
+
+    def hold(self, on):
+        if self.open and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
+    def finish(self):
+        """Sends no more; what the peer sends still comes in."""
+        if self.open and not self.finished and not self.transport.is_closing():
+            self.finished = True
+            if self.ended:
+                self.transport.close()
+            else:
+                self.transport.write_eof()
+
+    def part(self):
+        """Ends politely: closed at once, bytes that the peer sent meanwhile would make the kernel
+        reset the connection, and the last line might be lost with it."""
+        if not self.open:
+            return self.abort()
+        self.hold(False)
+        self.finish()
+        self.parted = True
+        self.carrier.loop.call_later(self.carrier.limits.linger / 1000, self.transport.abort)
+
+    def abort(self, reset=False):
+        if self.over:
+            return
+        self.over = True
+        if self.transport is None:
+            self.task.cancel()
+            return
+        if reset:
+            self.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
+
+
+def fault_line(wrong):
+    trace = wrong.__traceback__
+    while trace.tb_next:
+        trace = trace.tb_next
+    return f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}"
--- /dev/null
+++ b/wheathill/net/proxy.py
@@ -0,0 +1,351 @@
+"""The proxy: joins connections, discovery and probes to the decisions, and carries out what they call for.
+
+Names of the protocol become objects at this door; nothing is decided here but what the machine itself
+cannot do (no descriptor left) or what cannot be read.
+"""
+
+import random
+from collections import Counter
+
+from wheathill.model import ListKind, Outcome, Phase, Server, Session
+from wheathill.net.client import Client
+from wheathill.net.discovery import Watch
+from wheathill.net.lines import Malformed, report
+from wheathill.net.server import Dialled, ProbeLink
+from wheathill.policy import Balancer
+
+PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
+
+
+class Proxy:
+    def __init__(self, node, carrier, clock, log):
+        self.node = node
+        self.limits = node.limits
+        self.carrier = carrier
+        self.clock = clock
+        self.log_event = log
+        self.listeners = {listener.name: listener for listener in node.listeners}
+        self.tenants = {name: place for place, name in enumerate(node.tenants)}
+        self.zones = {name: place for place, name in enumerate(node.zones)}
+        self.servers = {}       # by name
+        self.addresses = {}     # Server -> (host, port)
+        self.clients = {}       # Session -> Client, in order of arrival
+        self.silent = {}        # clients that have sent no line yet, oldest first
+        self.links = {}         # Server -> ProbeLink, the longest unused first
+        self.seen = 0           # version of the list
+        self.watch = None
+        self.ready = False
+        self.stopping = None
+        self.counts = Counter()
+        self.balancer = Balancer(self, random.Random(node.seed), **node.balancer)
+
+    def now(self):
+        return self.clock.now()
+
+    # Start and stop
+
+    def start(self):
+        self.balancer.on_start(self.now())
+        self.listed(self.node.known, ListKind.CACHED)
+        self.open_watch()
+        self.clock.after(self.limits.list_wait, self.get_ready)
+        self.clock.after(self.limits.sweep, self.sweep)
+        self.clock.after(self.limits.figures, self.log_figures)
+
+    def get_ready(self):
+        if not self.ready:
+            self.ready = True
+            self.log_event("ready", servers=len(self.servers))
+
+    def stop(self, stopped):
+        """Newcomers still come for a while and are served; `stopped` is called when all is done."""
+        if self.stopping is None:
+            self.stopping = self.now()
+            self.log_event("stopping", sessions=len(self.clients))
+            self.balancer.on_stop(self.stopping)
+            self.wait_for_end(stopped)
+
+    def wait_for_end(self, stopped):
+        since = self.now() - self.stopping
+        waiting = any(not client.up for client in self.clients.values())
+        if since < self.limits.newcomers or waiting and since < self.limits.longest_dial + self.limits.stop_margin:
+            self.clock.after(self.limits.sweep / 5, self.wait_for_end, stopped)
+        else:
+            self.log_event("stopped", sessions=len(self.clients))
+            stopped()
+
+    def log_figures(self):
+        self.clock.after(self.limits.figures, self.log_figures)
+        self.log_event("figures", sessions=len(self.clients), sockets=self.carrier.sockets, **self.counts)
+
+    # Clients
+
+    def client(self, wire):
+        return Client(wire, self, self.limits, self.clock)
+
+    def came(self, client):
+        self.silent[client] = None
+        if self.carrier.free < 0:
+            # The oldest that has asked for nothing makes room; those that have asked are answered.
+            oldest = next(iter(self.silent))
+            del self.silent[oldest]
+            oldest.timer.cancel()
+            oldest.wire.abort()
+
+    def opened(self, client):
+        self.silent.pop(client, None)
+        head, now = client.head, self.now()
+        listener = self.listeners.get(head.values.get("c"))
+        if listener is None:
+            raise Malformed("c names no listener")
+        left = head.number("d", listener.dial_timeout)
+        tenant = head.values.get("t")
+        if tenant is not None and tenant not in self.tenants:
+            self.log_event("unknown tenant", tenant=tenant)
+        sess = Session(listener=listener, key=head.key, deadline=now + left - self.limits.answer_margin,
+                       tenant=self.tenants.get(tenant, 0), group=head.values.get("g") if self.node.groups else None,
+                       load=head.number("h"), mid_flow=head.values.get("mid") == "1",
+                       returning=head.values.get("again") == "1", repeat=head.values.get("r") == "1")
+        if self.carrier.free <= 0:
+            self.counts["no sockets"] += 1
+            client.answer(b"BUSY")
+        elif "at" in head.values:
+            self.stand(client, sess, now + self.limits.standing)
+        else:
+            self.clients[sess] = client
+            client.sess = sess
+            self.counts["sessions"] += 1
+            self.balancer.on_session(now, sess)
+
+    def bad_client(self, client, why):
+        self.silent.pop(client, None)
+        self.counts["bad"] += 1
+        self.log_event("bad input", what=why)
+        client.answer(b"ERR")
+
+    def hung_up(self, client):
+        self.silent.pop(client, None)
+        sess, client.sess = client.sess, None
+        if client.dial and not client.up and not client.dial.over:
+            client.dial.over = True
+            client.dial.timer.cancel()
+            client.dial.wire.abort()
+        if sess in self.clients:
+            del self.clients[sess]
+            self.counts["hung up"] += 1
+            self.balancer.on_hang_up(self.now(), sess)
+
+    def message_took(self, client, spent):
+        if client.sess is not None and spent > client.sess.listener.message_target:
+            self.counts["late messages"] += 1
+            self.balancer.on_notice(self.now(), client.sess, message_ms=spent)
+
+    def load_told(self, client, text):
+        try:
+            load = float(text)
+        except ValueError:
+            return self.log_event("bad input", what="LOAD without a number")
+        if client.sess is not None:
+            self.balancer.on_notice(self.now(), client.sess, load=load)
+
+    def sweep(self):
+        self.clock.after(self.limits.sweep, self.sweep)
+        now = self.now()
+        for client in list(self.clients.values()):
+            if client.asked is not None and now - client.asked >= self.limits.unanswered:
+                self.balancer.on_unanswered(now, client.sess, now - client.asked)
+
+    # Connections from before the start
+
+    def stand(self, client, sess, until):
+        """Up again at the server that holds it, however often that takes within the time given."""
+        client.sess = sess
+        server = self.servers.get(client.head.values["at"])
+        if server is None or self.now() >= until:
+            self.log_event("lost standing", server=client.head.values["at"])
+            return client.answer(b"ERR")
+        sess.server = server
+        sess.deadline = until
+        self.connect(client, server, until - self.now())
+
+    # Dials
+
+    def connect(self, client, server, time_out):
+        client.dial = dial = Dialled(client, server, self, self.limits, self.clock)
+        dial.start(self.carrier.connect(dial, self.addresses[server]), time_out, self.limits.connect)
+
+    def dial_up(self, dial, line):
+        client, sess, now = dial.client, dial.client.sess, self.now()
+        client.serve(dial, line)
+        if sess in self.clients:
+            self.counts["accepted"] += 1
+            self.balancer.on_accepted(now, sess)
+        else:
+            self.clients[sess] = client
+            self.balancer.on_open_session(now, sess, dial.server)
+
+    def dial_over(self, dial, outcome):
+        client, now = dial.client, self.now()
+        sess = client.sess
+        if not dial.up:
+            self.counts[outcome.value] += 1
+            self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
+                           after=round(now - dial.started, 1))
+        if sess is None:
+            return
+        if sess not in self.clients:
+            # A standing connection that did not come up.
+            self.clock.after(self.limits.sweep, self.stand_again, client, sess)
+        elif dial.up:
+            client.sess = None
+            del self.clients[sess]
+            self.counts["ended: " + outcome.value] += 1
+            self.balancer.on_outcome(now, sess, outcome, True)
+        elif outcome is Outcome.COMPLETED:
+            # Served to its end before it was ever up: the client is told what its server said.
+            del self.clients[sess]
+            client.sess = None
+            client.answer(b"BYE")
+            self.balancer.on_outcome(now, sess, outcome, True)
+        else:
+            self.balancer.on_outcome(now, sess, outcome, False)
+
+    def stand_again(self, client, sess):
+        if client.sess is sess and client.wire.open:
+            self.stand(client, sess, sess.deadline)
+
+    def odd_answer(self, dial, line):
+        self.log_event("bad input", server=dial.server.name, what=repr(line[:80]))
+
+    def reported(self, server, text):
+        figures = report(text, self.node.report_fields)
+        if figures:
+            self.balancer.on_report(self.now(), server, figures)
+
+    # What the decisions call for
+
+    def dial(self, sess, server, time_out):
+        client = self.clients[sess]
+        if self.carrier.free <= -self.limits.spare_sockets / 2:
+            self.clock.soon(self.no_socket, sess)
+        else:
+            self.connect(client, server, time_out)
+
+    def no_socket(self, sess):
+        if sess in self.clients:
+            self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
+
+    def refuse(self, sess, come_back_after):
+        self.counts["refused"] += 1
+        self.final(sess).answer(b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY")
+
+    def tear_down(self, sess):
+        self.counts["torn down"] += 1
+        self.final(sess).answer(b"ERR")
+
+    def final(self, sess):
+        client = self.clients.pop(sess)
+        client.sess = None
+        return client
+
+    def move(self, sess):
+        client = self.clients.get(sess)
+        if client is not None and client.up and not client.moving:
+            self.move_client(client)
+
+    def move_client(self, client):
+        if client.move():
+            self.counts["moved"] += 1
+            client.dial.over = True
+            sess = client.sess
+            del self.clients[sess]
+            client.sess = None
+            # Later: whoever asked for the move may be going through the sessions.
+            self.clock.soon(self.moved, sess)
+
+    def moved(self, sess):
+        self.balancer.on_outcome(self.now(), sess, Outcome.CANCELLED, True)
+
+    def alarm(self, name, at):
+        self.clock.at(at, self.ring, name)
+
+    def ring(self, name):
+        self.balancer.on_alarm(self.now(), name)
+
+    def log(self, text):
+        self.log_event("decision", what=text)
+
+    # Probes
+
+    def probe(self, server):
+        self.counts["probes"] += 1
+        link = self.links.pop(server, None)
+        if link is None:
+            if len(self.links) >= self.limits.probe_links:
+                self.close_link()
+            link = ProbeLink(server, self, self.limits, self.clock)
+            link.wire = self.carrier.connect(link, self.addresses[server])
+        self.links[server] = link
+        link.ask()
+
+    def close_link(self):
+        for link in list(self.links.values()):
+            if not link.asked:
+                return link.end(None)
+
+    def link_over(self, link):
+        if self.links.get(link.server) is link:
+            del self.links[link.server]
+
+    def probed(self, link, outcome, text):
+        figures = report(text, self.node.report_fields)
+        self.balancer.on_probed(self.now(), link.server, outcome, figures)
+
+    # The list of servers
+
+    def open_watch(self):
+        self.watch = Watch(self.node.discovery[0], self.seen, self, self.limits, self.clock)
+        self.watch.start(self.carrier.connect(self.watch, self.node.discovery))
+
+    def watch_over(self, why):
+        self.log_event("watch over", why=why)
+        self.clock.after(self.limits.list_retry, self.open_watch)
+
+    def follow_list(self, on):
+        """The watch is always open: the agent is on this machine and costs nothing."""
+        self.clock.soon(self.followed)
+
+    def followed(self):
+        self.balancer.on_list(self.now(), ListKind.CHANGES, [])
+
+    def listed(self, found, kind=None):
+        if not isinstance(found, dict) or not isinstance(found.get("hosts"), list):
+            return self.log_event("bad input", what="a list without hosts")
+        kind = kind or (ListKind.FULL if found.get("whole") else ListKind.CHANGES)
+        entries = []
+        for host in found["hosts"]:
+            try:
+                entries.append(self.entry(host))
+            except (KeyError, TypeError, ValueError) as wrong:
+                self.log_event("bad input", what=f"an entry of the list: {wrong!r}")
+        if isinstance(found.get("seq"), int):
+            self.seen = found["seq"]
+        self.balancer.on_list(self.now(), kind, entries)
+        if kind is not ListKind.CACHED:
+            self.get_ready()
+
+    def entry(self, host):
+        name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
+        weight = float(host.get("share") or 1.0)
+        cell = int(host.get("block") or 0)
+        server = self.servers.get(name)
+        if phase is not Phase.GONE or host.get("dial"):
+            where, _, port = host["dial"].rpartition(":")
+            where = where, int(port)
+        if server is None:
+            server = self.servers[name] = Server(str(name))
+        if phase is not Phase.GONE or host.get("dial"):
+            self.addresses[server] = where
+        if host.get("site") is not None:
+            server.zone, server.cell = self.zones.get(host["site"], -1), cell
+        return server, phase, weight, self.clock.from_wall(born) if born else None
--- /dev/null
+++ b/wheathill/net/server.py
@@ -0,0 +1,203 @@
+"""A server's side: the connection of one dial, and the link for probes."""
+
+from wheathill.model import Outcome
+from wheathill.net.lines import END, Lines, Malformed
+
+FIRST_WORDS = {b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"BYE": Outcome.COMPLETED,
+               b"MOVE": Outcome.CANCELLED}
+LAST_WORDS = {b"BYE": Outcome.COMPLETED, b"MOVE": Outcome.CANCELLED}
+
+
+class Dialled:
+    """One dial for a client. Tells `door` once how it came up, and once how it ended."""
+
+    def __init__(self, client, server, door, limits, clock):
+        self.client = client
+        self.server = server
+        self.door = door
+        self.limits = limits
+        self.clock = clock
+        self.lines = Lines(limits.line)
+        self.wire = None
+        self.timer = None
+        self.started = clock.now()
+        self.until = None       # when this dial is given up
+        self.sent = False       # the line's last byte has left
+        self.up = False
+        self.over = False
+        self.rest = b""         # of an unfinished line to the client
+        self.outcome = Outcome.RESET
+
+    def start(self, wire, time_out, connect):
+        self.wire = wire
+        self.until = self.started + time_out
+        self.set_timer(min(time_out, connect), self.give_up, Outcome.CONNECT_FAILED)
+
+    def set_timer(self, wait, call, *args):
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.clock.after(wait, call, *args)
+
+    def connected(self):
+        left = self.until - self.clock.now()
+        self.set_timer(left, self.overdue)
+        self.wire.send(*self.client.head.parts(left))
+        self.sent = self.wire.drained
+
+    def overdue(self):
+        self.give_up(Outcome.OVERDUE if self.sent else Outcome.CONNECT_FAILED)
+
+    def give_up(self, outcome):
+        """Closed before anyone is told: no other dial may go out while this one is."""
+        self.wire.abort()
+        self.tell_over(outcome)
+
+    def tell_over(self, outcome):
+        self.timer.cancel()
+        if not self.over:
+            self.over = True
+            self.door.dial_over(self, outcome)
+
+    def received(self, data):
+        if self.up:
+            return self.pass_on(bytes(data))
+        self.lines.feed(data)
+        try:
+            line = self.lines.next()
+        except Malformed:
+            return self.give_up(Outcome.ERROR)
+        if line is None:
+            return
+        word, _, rest = line.partition(b" ")
+        if word == b"UP" and self.sent:
+            self.timer.cancel()
+            self.up = True
+            self.door.dial_up(self, line + END)
+            if self.lines.rest:
+                self.pass_on(self.lines.rest)
+            return
+        self.door.reported(self.server, rest)
+        if word not in FIRST_WORDS:
+            self.door.odd_answer(self, line)
+        self.give_up(FIRST_WORDS.get(word, Outcome.ERROR))
+
+    def pass_on(self, data):
+        self.client.wire.send(data)
+        *lines, self.rest = (self.rest + data).split(END)
+        for line in lines:
+            self.read(line)
+        if len(self.rest) > self.limits.line:
+            # No line of the protocol: only whether it has ended still matters.
+            self.rest = self.rest[-1:]
+        if self.client.moving:
+            self.door.move_client(self.client)
+
+    def read(self, line):
+        word, _, rest = line.partition(b" ")
+        if word == b"LOAD":
+            self.door.load_told(self.client, rest)
+            return
+        self.client.answered()
+        if word in LAST_WORDS:
+            self.outcome = LAST_WORDS[word]
+            self.door.reported(self.server, rest)
+
+    @property
+    def between_lines(self):
+        return not self.rest
+
+    def blocked(self, on):
+        if not on:
+            self.sent = True
+        if self.up:
+            self.client.wire.hold(on)
+
+    def ended(self):
+        if not self.up:
+            return self.give_up(Outcome.RESET if self.sent else Outcome.CONNECT_FAILED)
+        self.tell_over(self.outcome)
+        self.client.wire.finish()
+        self.set_timer(self.limits.linger, self.close)
+
+    def close(self):
+        """What is left of a connection that one side has ended."""
+        self.wire.abort()
+        self.client.wire.abort()
+        self.tell_over(self.outcome)
+
+    def lost(self, reset):
+        self.tell_over(self.outcome if self.up or self.sent else Outcome.CONNECT_FAILED)
+        if self.up:
+            if reset:
+                self.client.wire.abort(reset=True)
+            else:
+                self.client.wire.part()
+
+    def fault(self):
+        self.wire.abort(reset=True)
+        if self.up:
+            self.client.wire.abort(reset=True)
+        self.tell_over(Outcome.ERROR)
+
+
+class ProbeLink:
+    """Asks one server for its load, again and again over one connection."""
+
+    def __init__(self, server, door, limits, clock):
+        self.server = server
+        self.door = door
+        self.limits = limits
+        self.clock = clock
+        self.lines = Lines(limits.line)
+        self.wire = None
+        self.asked = False
+        self.timer = None
+
+    def ask(self):
+        self.asked = True
+        self.set_timer(self.limits.probe, self.end, Outcome.OVERDUE)
+        if self.wire.open:
+            self.wire.send(b"STATS", END)
+
+    def set_timer(self, wait, call, *args):
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.clock.after(wait, call, *args)
+
+    def connected(self):
+        self.wire.send(b"STATS", END)
+
+    def received(self, data):
+        self.lines.feed(data)
+        try:
+            line = self.lines.next()
+        except Malformed:
+            return self.end(Outcome.ERROR)
+        if line is None:
+            return
+        word, _, rest = line.partition(b" ")
+        if not self.asked or self.lines.rest or word != b"PONG":
+            return self.end(Outcome.FULL if word == b"BUSY" else Outcome.ERROR)
+        self.asked = False
+        self.set_timer(self.limits.idle, self.end, None)
+        self.door.probed(self, Outcome.COMPLETED, rest)
+
+    def blocked(self, on):
+        pass
+
+    def ended(self):
+        self.end(Outcome.RESET)
+
+    def lost(self, reset):
+        self.end(Outcome.RESET if self.wire.transport else Outcome.CONNECT_FAILED)
+
+    def fault(self):
+        self.end(Outcome.ERROR)
+
+    def end(self, outcome):
+        asked, self.asked = self.asked, False
+        self.timer.cancel()
+        self.wire.abort()
+        self.door.link_over(self)
+        if asked:
+            self.door.probed(self, outcome, b"")
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -755,12 +755,14 @@
     CONNECTION_LIFE = 10_000.0
     EARLY = 5000.0
     MOVE_FROM = 0.9
+    SILENCE = 3000.0
     LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
-                 longest_wait, crossing_price, move_price):
+                 longest_wait, crossing_price, move_price, passes_through):
         self.actions = actions
+        self.passes_through = passes_through
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
@@ -861,8 +863,15 @@
     def on_report(self, now, server, report):
         self.levels.sample(now, server, report)
 
-    def on_peer(self, now, peer, message):
-        pass
+    def on_unanswered(self, now, sess, waited):
+        """A line of its client got nothing back: its server or the way there is gone without a word."""
+        if waited >= self.SILENCE:
+            self.actions.move(sess)
+
+    def on_stop(self, now):
+        if not self.passes_through:
+            for sess in [sess for held in self.table.sessions for sess in held]:
+                self.actions.move(sess)
 
     def on_alarm(self, now, name):
         if name == "follow":
