--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -76,7 +76,8 @@
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
-        self.log_event("figures", sessions=len(self.clients), sockets=self.carrier.sockets, **self.counts)
+        self.log_event("figures", sessions=len(self.clients), sockets=self.carrier.sockets,
+                       since_start=self.counts)
 
     # Clients
 
