--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -142,7 +142,7 @@
     standing: float = 40_000.0          # for connections from before the start to come up again
     list_line: int = 4 * 2 ** 20        # one line of a watch
     list_wait: float = 1000.0           # for discovery's first answer, before the known list has to do
-    list_silence: float = 5000.0        # a watch that says nothing for so long is opened again
+    list_silence: float = 3500.0        # a watch that says nothing for so long is opened again
     list_retry: float = 250.0
     unanswered: float = 1000.0          # a line without an answer is reported from then on
     sweep: float = 250.0
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -25,10 +25,10 @@
         self.set_timer(self.limits.line_in, self.no_line)
         self.door.came(self)
 
-    def set_timer(self, wait, call):
+    def set_timer(self, wait, call, *args):
         if self.timer:
             self.timer.cancel()
-        self.timer = self.clock.after(wait, call)
+        self.timer = self.clock.after(wait, call, *args)
 
     def received(self, data):
         if self.up:
@@ -48,6 +48,7 @@
             while self.head is None and (line := self.lines.next()) is not None:
                 if line == b"PING":
                     self.wire.send(b"PONG" if self.door.ready else b"ERR", END)
+                    self.set_timer(self.limits.line_in, self.no_line)
                 else:
                     self.head = Head(line)
                     self.timer.cancel()
@@ -62,6 +63,7 @@
     def serve(self, dial, line):
         """The server's UP line and what came along with it."""
         self.up = True
+        self.timer.cancel()
         self.wire.send(line)
         if self.early:
             self.asked = self.clock.now()
@@ -97,12 +99,12 @@
             self.dial.wire.hold(on)
 
     def ended(self):
+        self.door.hung_up(self)
         if self.up:
             self.dial.wire.finish()
             self.dial.set_timer(self.limits.linger, self.dial.close)
         else:
-            # Nobody can wait for an answer with half a connection here: UP needs both directions.
-            self.door.hung_up(self)
+            # A session needs both directions, so this one is over, and still gets its answer.
             self.answer(b"ERR")
 
     def lost(self, reset):
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -80,9 +80,11 @@
             self.guard(self.machine.received, self.carrier.buffer[:count])
 
     def eof_received(self):
-        self.ended = True
-        if not self.parted:
+        # A reader that was held and let go is told of the same end again.
+        if not self.ended and not self.parted:
+            self.ended = True
             self.guard(self.machine.ended)
+        self.ended = True
         # Once both sides have finished the connection closes; until then the other direction goes on.
         return not self.finished
 
@@ -140,12 +142,14 @@
 
     def part(self):
         """Ends politely: closed at once, bytes that the peer sent meanwhile would make the kernel
-        reset the connection, and the last line might be lost with it."""
+        reset the connection, and the last line might be lost with it. Not where descriptors run out."""
         if not self.open:
             return self.abort()
         self.hold(False)
         self.finish()
         self.parted = True
+        if self.carrier.free < 0:
+            return self.transport.close()
         self.carrier.loop.call_later(self.carrier.limits.linger / 1000, self.transport.abort)
 
     def abort(self, reset=False):
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -46,7 +46,8 @@
 
     def start(self):
         self.balancer.on_start(self.now())
-        self.listed(self.node.known, ListKind.CACHED)
+        if self.node.known:
+            self.listed(self.node.known, ListKind.CACHED)
         self.open_watch()
         self.clock.after(self.limits.list_wait, self.get_ready)
         self.clock.after(self.limits.sweep, self.sweep)
@@ -85,10 +86,12 @@
         return Client(wire, self, self.limits, self.clock)
 
     def came(self, client):
-        self.silent[client] = None
-        if self.carrier.free < 0:
+        now = self.now()
+        self.silent[client] = now
+        oldest, since = next(iter(self.silent.items()))
+        free = self.carrier.free
+        if free < 0 or free < self.limits.spare_sockets and now - since > self.limits.linger:
             # The oldest that has asked for nothing makes room; those that have asked are answered.
-            oldest = next(iter(self.silent))
             del self.silent[oldest]
             oldest.timer.cancel()
             oldest.wire.abort()
@@ -115,9 +118,16 @@
         else:
             self.clients[sess] = client
             client.sess = sess
-            self.counts["sessions"] += 1
+            self.counts["came"] += 1
+            client.set_timer(left, self.late, client)
             self.balancer.on_session(now, sess)
 
+    def late(self, client):
+        """The decisions have missed a deadline, which only a fault in them can do: the client must not suffer."""
+        self.log_event("fault", where="decisions", what="no answer in time")
+        self.hung_up(client)
+        client.answer(b"ERR")
+
     def bad_client(self, client, why):
         self.silent.pop(client, None)
         self.counts["bad"] += 1
@@ -153,7 +163,9 @@
         self.clock.after(self.limits.sweep, self.sweep)
         now = self.now()
         for client in list(self.clients.values()):
-            if client.asked is not None and now - client.asked >= self.limits.unanswered:
+            # Who reads nothing itself can't be brought an answer.
+            if client.asked is not None and now - client.asked >= self.limits.unanswered \
+                    and not client.wire.full:
                 self.balancer.on_unanswered(now, client.sess, now - client.asked)
 
     # Connections from before the start
@@ -193,8 +205,8 @@
             self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
                            after=round(now - dial.started, 1))
         if sess is None:
-            return
-        if sess not in self.clients:
+            pass
+        elif sess not in self.clients:
             # A standing connection that did not come up.
             self.clock.after(self.limits.sweep, self.stand_again, client, sess)
         elif dial.up:
@@ -339,14 +351,16 @@
         name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
         weight = float(host.get("share") or 1.0)
         cell = int(host.get("block") or 0)
-        server = self.servers.get(name)
-        if phase is not Phase.GONE or host.get("dial"):
+        server = self.servers.get(name) or Server(str(name))
+        if host.get("dial"):
             where, _, port = host["dial"].rpartition(":")
             where = where, int(port)
-        if server is None:
-            server = self.servers[name] = Server(str(name))
-        if phase is not Phase.GONE or host.get("dial"):
+            if self.addresses.get(server, where) != where and server in self.links:
+                self.links[server].end(Outcome.RESET)
             self.addresses[server] = where
+        elif phase is not Phase.GONE:
+            raise ValueError("no address")
         if host.get("site") is not None:
             server.zone, server.cell = self.zones.get(host["site"], -1), cell
+        self.servers[name] = server
         return server, phase, weight, self.clock.from_wall(born) if born else None
