Clients are sent away before their server or proxy leaves; the program tested over sockets

The module decides both: a quarter of the connections at a time, as all of them are set up anew; where packets pass through, a stopping proxy leaves them standing. Sixteen scenarios start the program on free loopback ports. They found: under a flood of silent connections each newcomer was thrown out as the oldest of them.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -1,13 +1,22 @@
-"""The one helper: drives a Balancer by hand and writes its decisions down as lines.
+"""The one helper: drives a Balancer by hand, or a started proxy over sockets, and writes down what it
+does as lines.
 
 A trace is compared with the file of its name in tests/traces; `python tests/drive.py` writes
 those files anew, for a person to read before they are kept.
 """
 
 import importlib
+import json
+import os
 import pathlib
 import random
+import re
+import select
+import signal
+import socket
+import subprocess
 import sys
+import tempfile
 
 from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
 from wheathill.policy import Balancer
@@ -123,11 +132,152 @@
             self.say(f"{name}: {table.current.count(server)} slots, {table.new.count(server)} to come")
 
 
+class Peer:
+    """One end of a connection to the proxy; says and hears lines, and writes both down."""
+
+    def __init__(self, rig, name, sock):
+        self.rig, self.name, self.sock, self.rest = rig, name, sock, b""
+        sock.settimeout(8.0)
+        rig.peers.append(self)      # or it would be closed when a scenario no longer names it
+
+    def say(self, text, end="\r\n"):
+        self.sock.sendall((text + end).encode())
+
+    def hear(self):
+        """One line, or how the connection ended."""
+        try:
+            while b"\n" not in self.rest:
+                data = self.sock.recv(65536)
+                if not data:
+                    break
+                self.rest += data
+            line, _, self.rest = self.rest.partition(b"\n")
+            text = line.decode().rstrip("\r") or "(end)"
+        except ConnectionResetError:
+            text = "(reset)"
+        # How much time is left differs from run to run.
+        self.rig.lines.append(f"{self.name} hears {re.sub(r'd=[0-9]+', 'd=...', text)}")
+        return text
+
+    def finish(self):
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+def listener():
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(8.0)
+    return sock
+
+
+class Rig:
+    """A proxy as a program, with plain sockets in the place of its servers, discovery and clients."""
+
+    def __init__(self, names=("a", "b"), known=True, mode="pass", settings=None, **limits):
+        self.lines = []
+        self.peers = []
+        self.servers = {name: listener() for name in names}
+        self.discovery = listener()
+        self.seq = 0
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        config = {
+            "name": "n0", "seed": "5eed", "listen": "%s:%d" % self.address,
+            "discovery": "%s:%d" % self.discovery.getsockname(), "limits": {"sockets": 256, **limits},
+            "known": self.list(*names) if known else {},
+            "settings": {"listeners": [{"name": "any", "repeat": "retryable", "dialTimeoutS": 2.0}],
+                         "limits": {"maxDials": 3, "retryAfter": True, "maxRetryAfterS": 1.0},
+                         "familyInfo": {"mode": mode}, "dcs": ["x", "y"], "tenants": [{"name": "t"}],
+                         "obligations": {"drainGraceS": 0.5}, **(settings or {})}}
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen([sys.executable, "-m", "wheathill"], stdout=subprocess.PIPE,
+                                        env={**os.environ, "NODE_CONFIG": str(path)})
+        self.watch = None
+
+    def __enter__(self):
+        self.until_logged("listening")
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.communicate()
+        self.folder.cleanup()
+        for sock in (*self.servers.values(), self.discovery):
+            sock.close()
+
+    def until_logged(self, event):
+        for line in self.process.stdout:
+            found = json.loads(line)
+            if found["event"] == event:
+                return found
+        raise AssertionError(f"ended without a line {event}")
+
+    def list(self, *names, whole=True, **changed):
+        self.seq += 1
+        hosts = [{"host": name, "dial": "%s:%d" % self.servers[name].getsockname(), "site": "x", "class": "m",
+                  "block": 1, "health": "ready", "share": 1.0, "born_ms": 0, **changed} for name in names]
+        return {"seq": self.seq, "whole": whole, "hosts": hosts}
+
+    def watched(self, *names, **changed):
+        """Takes the proxy's watch in and sends it a first list."""
+        self.watch = Peer(self, "discovery", self.discovery.accept()[0])
+        request = self.watch.hear()
+        while self.watch.hear() != "(end)":     # an empty line: the request is whole
+            pass
+        del self.lines[-4:]
+        self.watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
+        if names:
+            self.tell(self.list(*names, **changed))
+        return request
+
+    def tell(self, found):
+        text = json.dumps(found) + "\n"
+        self.watch.say(f"{len(text):x}\r\n{text}")
+
+    def client(self, name="client"):
+        return Peer(self, name, socket.create_connection(self.address, 8.0))
+
+    def open(self, key="k", name="client", **values):
+        """A client that sent its line."""
+        client = self.client(name)
+        values = {"c": "any", "t": "t", "d": 2000, **values}
+        client.say(f"OPEN id-{key} {key} " + ",".join(f"{name}={value}" for name, value in values.items()))
+        return client
+
+    def taken(self, names):
+        """The next dial, at whichever of the servers it arrives."""
+        socks = [self.servers[name] for name in names]
+        ready = select.select(socks, [], [], 8.0)[0]
+        name = names[socks.index(ready[0])]
+        return Peer(self, f"server {name}", ready[0].accept()[0])
+
+    def up(self, key="k", names=("a", "b"), **values):
+        client = self.open(key, **values)
+        server = self.taken(names)
+        server.hear()
+        server.say("UP r1")
+        client.hear()
+        return client, server
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        self.until_logged("stopping")
+
+    def end(self):
+        self.lines.append(f"proxy exits with {self.process.wait(8)}")
+
+
 def kept(name, lines):
     return (TRACES / f"{name}.txt").read_text().splitlines() == lines
 
 
 if __name__ == "__main__":
     sys.path.insert(0, str(pathlib.Path(__file__).parent))
-    for scenario, run in importlib.import_module("test_policy").SCENARIOS.items():
-        (TRACES / f"{scenario}.txt").write_text("\n".join(run()) + "\n")
+    for module in ("test_policy", "test_proxy"):
+        for scenario, run in importlib.import_module(module).SCENARIOS.items():
+            (TRACES / f"{scenario}.txt").write_text("\n".join(run()) + "\n")
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,300 @@
+"""The program started on free loopback ports, with plain sockets in the place of its peers."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from drive import Rig, kept
+
+
+def serves_a_session():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client = rig.open(h="0.5")
+        client.say("early")
+        server = rig.taken(("a", "b"))
+        server.hear()
+        server.say("UP r1\r\ncame along")
+        client.hear()
+        client.hear()
+        server.hear()
+        client.say("one\r\ntw", end="")
+        client.say("o")
+        server.hear()
+        server.hear()
+        server.say("LOAD 0.7\r\necho")
+        client.hear()
+        client.hear()
+        server.say("BYE")
+        server.finish()
+        client.hear()
+        client.hear()
+        client.finish()
+        server.hear()
+        return rig.lines
+
+
+def turned_away_twice():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client = rig.open()
+        for answer in ("BUSY", "ERR"):
+            server = rig.taken(("a", "b"))
+            server.hear()
+            server.say(answer)
+            server.hear()
+        client.hear()
+        client.hear()
+        return rig.lines
+
+
+def closed_before_the_next_dial():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client = rig.open(d=1000)
+        first = rig.taken(("a", "b"))
+        first.hear()
+        second = rig.taken(("a", "b"))
+        first.sock.setblocking(False)
+        rig.lines.append(f"first dial closed: {first.sock.recv(1) == b''}")
+        second.hear()
+        second.say("UP r2")
+        client.hear()
+        return rig.lines
+
+
+def connection_refused():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        rig.servers["a"].close()
+        rig.servers["b"].close()
+        client = rig.open()
+        client.hear()
+        client.hear()
+        return rig.lines
+
+
+def ends_passed_on():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        client.finish()
+        server.hear()
+        server.say("BYE")
+        server.finish()
+        client.hear()
+        client.hear()
+        client, server = rig.up("k2")
+        server.reset()
+        client.hear()
+        client, server = rig.up("k3")
+        client.reset()
+        server.hear()
+        return rig.lines
+
+
+def client_leaves_early():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client = rig.open()
+        server = rig.taken(("a", "b"))
+        server.hear()
+        client.finish()
+        server.hear()
+        client.hear()
+        client.hear()
+        return rig.lines
+
+
+def silent_server():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        server.say("half ", end="")
+        client.say("anyone?")
+        server.hear()
+        began = time.monotonic()
+        server.say("a line\r\nand half", end="")
+        client.hear()
+        client.say("anyone?")
+        while client.hear() not in ("MOVE", "(end)"):
+            pass
+        rig.lines.append(f"within seven seconds: {time.monotonic() - began < 7}")
+        return rig.lines
+
+
+def moved_between_lines():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        client.say("anyone?")
+        client.hear()
+        client.hear()
+        server.hear()
+        server.hear()
+        return rig.lines
+
+
+def stop_where_packets_pass():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        rig.stop()
+        newcomer, _ = rig.up("late", name="newcomer")
+        client.say("still here")
+        server.hear()
+        rig.end()
+        return rig.lines
+
+
+def stop_where_connections_end():
+    with Rig(mode="proxy") as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        rig.stop()
+        client.hear()
+        client.hear()
+        server.hear()
+        newcomer, server = rig.up("late", name="newcomer")
+        newcomer.hear()
+        newcomer.hear()
+        rig.end()
+        return rig.lines
+
+
+def drained_server():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        name = server.name[-1]
+        rig.tell(rig.list(name, whole=False, health="draining"))
+        client.hear()
+        client.hear()
+        rig.lines = [line.replace(f"server {name}", "server that drains") for line in rig.lines]
+        left = rig.open("k2")
+        rig.lines.append(f"next dial goes elsewhere: {rig.taken(('a', 'b')).name != server.name}")
+        left.sock.close()
+        return rig.lines
+
+
+def bad_input():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        for text in ("garbage", "OPEN only three", "OPEN i k c=nobody,d=5", "OPEN i k c=any,d=soon",
+                     "OPEN i k c=any,at=nowhere", "\xff\xfe", "x" * 5000):
+            client = rig.client()
+            rig.lines.append(f"client says {text[:30]!a}")
+            client.say(text)
+            client.hear()
+            client.hear()
+        client = rig.client("prober")
+        for _ in range(2):
+            client.say("PING")
+            client.hear()
+        return rig.lines
+
+
+def follows_discovery():
+    with Rig(names=("a", "b", "c"), known=False) as rig:
+        prober = rig.client("prober")
+        prober.say("PING")
+        prober.hear()
+        rig.lines.append(rig.watched("a"))
+        rig.until_logged("ready")
+        prober.say("PING")
+        prober.hear()
+        rig.up()
+        rig.watch.sock.close()
+        rig.lines.append(rig.watched())
+        rig.tell(rig.list("a", whole=False, health="gone"))
+        rig.tell(rig.list("b", whole=False))
+        rig.up("k2", names=("a", "b", "c"))
+        rig.tell({"seq": "none"})
+        rig.watch.say("5\r\n{[}]\n")
+        rig.watch.hear()
+        rig.lines.append(rig.watched("c"))
+        rig.up("k3", names=("a", "b", "c"))
+        rig.lines.append("(discovery says nothing more)")
+        rig.lines.append(rig.watched())
+        return rig.lines
+
+
+def standing_connection():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        address = rig.servers["a"].getsockname()
+        rig.servers["a"].close()
+        client = rig.open(at="a")
+        rig.until_logged("dial failed")
+        rig.servers["a"] = socket.create_server(address)
+        server = rig.taken(("a",))
+        server.hear()
+        server.say("UP r1")
+        client.hear()
+        return rig.lines
+
+
+def no_descriptor_left():
+    with Rig(sockets=64) as rig:
+        rig.watched("a", "b")
+        held = [rig.up(f"k{number}") for number in range(7)]
+        del rig.lines[:]
+        rig.open("one-more").hear()
+        idle = [rig.client() for _ in range(60)]
+        rig.open("another").hear()
+        client, server = held[0]
+        client.say("still served")
+        server.hear()
+        del idle
+        return rig.lines
+
+
+def probes():
+    report = {"how": "on_probe", "names": ["active", "x0"]}
+    limits = {"maxDials": 3, "mayProbe": True}
+    with Rig(names=("a",), settings={"report": report, "limits": limits}) as rig:
+        rig.watched("a")
+        client = rig.open()
+        link = rig.taken(("a",))
+        link.hear()
+        link.say("PONG active=3,x0=0.95,new=1")
+        client.hear()
+        client = rig.open("k2")
+        time.sleep(0.5)     # the figure grows old
+        client = rig.open("k3")
+        link.hear()
+        link.say("PONG active=3,x0=0.2")
+        server = rig.taken(("a",))
+        server.hear()
+        return rig.lines
+
+
+SCENARIOS = {run.__name__: run for run in (
+    serves_a_session, turned_away_twice, closed_before_the_next_dial, connection_refused, ends_passed_on,
+    client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
+    stop_where_connections_end, drained_server, bad_input, follows_discovery, standing_connection,
+    no_descriptor_left, probes)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_trace(name):
+    assert kept(name, SCENARIOS[name]())
+
+
+@pytest.mark.parametrize("config, key", [
+    ('{"settings": {"listeners": [{}]}, "limits": {"sockets": "many"}, "listen": "h:1", "discovery": "h:1",'
+     '"name": "n", "seed": ""}', "limits.sockets"),
+    ('{"settings": {"listeners": [{"repeat": "often"}]}}', "settings.listeners[0].repeat"),
+    ('{"settings": {"listeners": [{}]}, "listen": "here"}', "listen"),
+    ("{", "NODE_CONFIG")])
+def test_bad_configuration(tmp_path, config, key):
+    path = tmp_path / "config.json"
+    path.write_text(config)
+    done = subprocess.run([sys.executable, "-m", "wheathill"], capture_output=True, text=True,
+                          env={**os.environ, "NODE_CONFIG": str(path)})
+    assert (done.returncode, done.stderr.partition(":")[0]) == (2, key)
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -147,7 +147,8 @@
     unanswered: float = 1000.0          # a line without an answer is reported from then on
     sweep: float = 250.0
     newcomers: float = 500.0            # after the order to stop, clients still come for so long
-    stop_margin: float = 600.0          # beyond the longest dial, for a proxy that stops
+    stop_margin: float = 400.0          # beyond the longest dial, for a proxy that stops
+    stop_linger: float = 150.0
     log_lines: int = 10_000             # held for a reader that does not read
     figures: float = 10_000.0           # how often counts are logged
 
@@ -166,6 +167,7 @@
     tenants: list
     zones: list
     groups: bool
+    moves_at_stop: bool
     report_fields: list
     balancer: dict
 
@@ -191,6 +193,7 @@
     listeners = read_listeners(settings)
     if not listeners:
         raise Misconfigured("settings.listeners: names none")
+    balancer = balancer_settings(settings)
     where = {key: address(top.text(key, environ.get("NODE_" + key.upper())), key)
              for key in ("listen", "discovery")}
     return Node(
@@ -202,4 +205,5 @@
         known=top.part("known").values, listeners=listeners,
         tenants=[item.text("name", "") for item in settings.parts("tenants")],
         zones=settings.texts("dcs"), groups=settings.part("familyInfo").flag("groups"),
-        report_fields=settings.part("report").texts("names"), balancer=balancer_settings(settings))
+        moves_at_stop=not balancer["passes_through"],
+        report_fields=settings.part("report").texts("names"), balancer=balancer)
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -63,17 +63,21 @@
         if self.stopping is None:
             self.stopping = self.now()
             self.log_event("stopping", sessions=len(self.clients))
-            self.balancer.on_stop(self.stopping)
-            self.wait_for_end(stopped)
+            self.clock.after(self.limits.newcomers, self.wait_for_end, stopped)
+            self.balancer.on_stop(self.stopping, False)
 
     def wait_for_end(self, stopped):
-        since = self.now() - self.stopping
+        now = self.now()
+        last = now >= self.stopping + self.limits.longest_dial + self.limits.stop_margin
+        self.balancer.on_stop(now, last)
+        # What is left when nobody waits any more is what goes on without this proxy.
         waiting = any(not client.up for client in self.clients.values())
-        if since < self.limits.newcomers or waiting and since < self.limits.longest_dial + self.limits.stop_margin:
-            self.clock.after(self.limits.sweep / 5, self.wait_for_end, stopped)
+        if last or not waiting and not (self.clients and self.node.moves_at_stop):
+            self.log_event("stopped", sessions=len(self.clients), since_start=self.counts)
+            # The last MOVE lines are on their way: an end too soon would overtake them.
+            self.clock.after(self.limits.stop_linger, stopped)
         else:
-            self.log_event("stopped", sessions=len(self.clients))
-            stopped()
+            self.clock.after(self.limits.sweep, self.wait_for_end, stopped)
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
@@ -89,8 +93,8 @@
         now = self.now()
         self.silent[client] = now
         oldest, since = next(iter(self.silent.items()))
-        free = self.carrier.free
-        if free < 0 or free < self.limits.spare_sockets and now - since > self.limits.linger:
+        free, spare = self.carrier.free, self.limits.spare_sockets
+        if free < -spare / 2 or free < spare and now - since > self.limits.linger:
             # The oldest that has asked for nothing makes room; those that have asked are answered.
             del self.silent[oldest]
             oldest.timer.cancel()
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -486,15 +486,9 @@
         self.next = None
         self.before = None
 
-    def enter(self, now, sess):
-        self.next.enter(now, sess)
-
     def accepted(self, now, sess):
         self.before.accepted(now, sess)
 
-    def back(self, now, sess, outcome):
-        self.before.back(now, sess, outcome)
-
 
 class Admission(Stage):
     """Takes a session in, and gives its final answer when no later stage could.
@@ -829,8 +823,7 @@
             self.health.dialled(now, sess.server, False)
             self.first.failed(now)
         if closed or sess.ended:
-            sess.ended = True
-            self.first.under_way.pop(sess, None)
+            self.on_hang_up(now, sess)
         else:
             self.dialling.back(now, sess, outcome)
 
@@ -868,10 +861,17 @@
         if waited >= self.SILENCE:
             self.actions.move(sess)
 
-    def on_stop(self, now):
+    def on_stop(self, now, last):
+        """Asked again and again until the end, so that those accepted meanwhile are sent away as well. Where
+        packets pass through, connections go on without this proxy."""
         if not self.passes_through:
-            for sess in [sess for held in self.table.sessions for sess in held]:
-                self.actions.move(sess)
+            self.send_away([sess for held in self.table.sessions for sess in held], 1 if last else 4)
+
+    def send_away(self, sessions, parts):
+        """Clients are told to move before their server leaves, or this proxy. A part at a time: all of them
+        are set up anew, and at once they would swamp what set-ups depend on."""
+        for sess in sessions[:math.ceil(len(sessions) / parts)]:
+            self.actions.move(sess)
 
     def on_alarm(self, now, name):
         if name == "follow":
@@ -897,6 +897,8 @@
         if shifted:
             self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
         self.relieve(now)
+        self.send_away([sess for held in self.table.sessions for sess in held
+                        if sess.server.phase is Phase.DRAINING], 4)
         due = self.probes.due(now, self.roster.servers, self.levels.figures(now, self.roster.servers))
         self.next_probes = deque(due)
         for place in range(len(due)):
