--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -14,6 +14,7 @@
         self.lines = Lines(limits.line)
         self.head = None
         self.sess = None
+        self.came = None
         self.dial = None        # the one that is out or up
         self.early = b""        # sent by the client before its session was up
         self.up = False
@@ -22,6 +23,7 @@
         self.timer = None
 
     def connected(self):
+        self.came = self.clock.now()
         self.set_timer(self.limits.line_in, self.no_line)
         self.door.came(self)
 
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -140,15 +140,25 @@
 
     def hung_up(self, client):
         self.silent.pop(client, None)
-        sess, client.sess = client.sess, None
+        sess = client.sess
         if client.dial and not client.up and not client.dial.over:
             client.dial.over = True
             client.dial.timer.cancel()
             client.dial.wire.abort()
         if sess in self.clients:
-            del self.clients[sess]
-            self.counts["hung up"] += 1
+            self.over(sess, "hung up")
             self.balancer.on_hang_up(self.now(), sess)
+        client.sess = None
+
+    def over(self, sess, how):
+        client = self.clients.pop(sess)
+        client.sess = None
+        self.counts[how] += 1
+        now = self.now()
+        lasted = None if sess.accepted is None else round(now - sess.accepted)
+        self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted, dials=len(sess.dials),
+                       server=sess.server and sess.server.name, waited=round(now - client.came - (lasted or 0), 1))
+        return client
 
     def message_took(self, client, spent):
         if client.sess is not None and spent > client.sess.listener.message_target:
@@ -205,7 +215,7 @@
         client, now = dial.client, self.now()
         sess = client.sess
         if not dial.up:
-            self.counts[outcome.value] += 1
+            self.counts["dial: " + outcome.value] += 1
             self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
                            after=round(now - dial.started, 1))
         if sess is None:
@@ -214,15 +224,11 @@
             # A standing connection that did not come up.
             self.clock.after(self.limits.sweep, self.stand_again, client, sess)
         elif dial.up:
-            client.sess = None
-            del self.clients[sess]
-            self.counts["ended: " + outcome.value] += 1
+            self.over(sess, outcome.value)
             self.balancer.on_outcome(now, sess, outcome, True)
         elif outcome is Outcome.COMPLETED:
             # Served to its end before it was ever up: the client is told what its server said.
-            del self.clients[sess]
-            client.sess = None
-            client.answer(b"BYE")
+            self.over(sess, outcome.value).answer(b"BYE")
             self.balancer.on_outcome(now, sess, outcome, True)
         else:
             self.balancer.on_outcome(now, sess, outcome, False)
@@ -253,17 +259,10 @@
             self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
 
     def refuse(self, sess, come_back_after):
-        self.counts["refused"] += 1
-        self.final(sess).answer(b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY")
+        self.over(sess, "refused").answer(b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY")
 
     def tear_down(self, sess):
-        self.counts["torn down"] += 1
-        self.final(sess).answer(b"ERR")
-
-    def final(self, sess):
-        client = self.clients.pop(sess)
-        client.sess = None
-        return client
+        self.over(sess, "torn down").answer(b"ERR")
 
     def move(self, sess):
         client = self.clients.get(sess)
@@ -272,11 +271,9 @@
 
     def move_client(self, client):
         if client.move():
-            self.counts["moved"] += 1
             client.dial.over = True
             sess = client.sess
-            del self.clients[sess]
-            client.sess = None
+            self.over(sess, "moved")
             # Later: whoever asked for the move may be going through the sessions.
             self.clock.soon(self.moved, sess)
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -749,7 +749,7 @@
     CONNECTION_LIFE = 10_000.0
     EARLY = 5000.0
     MOVE_FROM = 0.9
-    SILENCE = 3000.0
+    SILENCE = 1500.0
     LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
