A dial that comes up after its server left is not sent; half lines; machines tested byte by byte

A connection may come up after the list has told that its server drains: nothing is written to it then.

--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,135 @@
+"""The state machines alone, fed bytes by hand."""
+
+import pytest
+
+from drive import kept
+from wheathill.config import Limits
+from wheathill.model import Server
+from wheathill.net.client import Client
+from wheathill.net.discovery import Watch
+from wheathill.net.lines import Head, report
+from wheathill.net.server import Dialled
+
+
+class Hand:
+    """Stands in for the wire, the clock and the door of one machine; writes down what they are asked for."""
+
+    open = full = False
+    drained = True
+    ready = False
+
+    def __init__(self, name="", lines=None):
+        self.name = name
+        self.lines = [] if lines is None else lines
+
+    def __getattr__(self, what):
+        def say(*args, **named):
+            shown = [str(arg) for arg in args if isinstance(arg, (bytes, str, dict, bool)) or hasattr(arg, "value")]
+            self.lines.append(" ".join([self.name, what, *shown, *map(str, named)]))
+        return say
+
+    def may_send(self, dial):
+        return True
+
+    def now(self):
+        return 0.0
+
+    def after(self, wait, call, *args):
+        return Hand("timer", [])
+
+
+LIMITS = Limits(sockets=100, connect=100.0, longest_dial=1000.0, idle=1000.0)
+
+
+def dialled():
+    lines = []
+    client = Client(Hand("client", lines), Hand("door", lines), LIMITS, Hand("clock", lines))
+    client.connected()
+    client.received(b"OPEN id k d=9,c=any\r\n")
+    dial = client.dial = Dialled(client, Server("a"), Hand("door", lines), LIMITS, Hand("clock", lines))
+    dial.start(Hand("server", lines), 1000.0, 100.0)
+    del lines[:]
+    return client, dial, lines
+
+
+def last_byte():
+    for before_the_end in ("nothing more", "the last byte leaves"):
+        _, dial, lines = dialled()
+        dial.wire.drained = False
+        dial.connected()
+        dial.blocked(True)
+        if before_the_end == "the last byte leaves":
+            dial.blocked(False)
+        lines.append(f"-- {before_the_end}, then the connection breaks")
+        dial.lost(True)
+        yield from lines
+
+
+def line_by_bytes():
+    client, dial, lines = dialled()
+    dial.connected()
+    for byte in b"UP r\r\nLOAD 0.5\r\nx\r\nBYE inflight=1\r\n":
+        dial.received(bytes([byte]))
+        if dial.up and dial.between_lines:
+            lines.append("-- between lines")
+    dial.ended()
+    return [line for line in lines if "client send" not in line]
+
+
+def move_waits():
+    client, dial, lines = dialled()
+    dial.connected()
+    dial.received(b"UP r\r\nhal")
+    lines.append(f"moves at once: {client.move()}")
+    dial.received(b"f\r\n")
+    lines.append(f"moves then: {client.move()}")
+    return lines
+
+
+def backpressure():
+    client, dial, lines = dialled()
+    dial.connected()
+    dial.received(b"UP r\r\n")
+    client.serve(dial, b"UP r\r\n")
+    for machine in (client, dial):
+        machine.blocked(True)
+        machine.blocked(False)
+    return lines
+
+
+def watch_by_bytes():
+    lines = []
+    watch = Watch("127.0.0.1", 4, Hand("door", lines), LIMITS, Hand("clock", lines))
+    watch.start(Hand("wire", lines))
+    watch.connected()
+    for byte in (b"HTTP/1.1 200 OK\r\ncontent-type: x\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                 b'8\r\n{"seq":5\r\n2;x=y\r\n}\n\r\n1\r\n\n\r\n0\r\n'):
+        watch.received(bytes([byte]))
+    return lines
+
+
+def watch_refused():
+    lines = []
+    for answer in (b"HTTP/1.1 503 no\r\n", b"SSH-2.0\r\n", b"HTTP/1.1 200 OK\r\n\r\n{]\n",
+                   b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nmany\r\n"):
+        watch = Watch("127.0.0.1", 4, Hand("door", lines), LIMITS, Hand("clock", lines))
+        watch.start(Hand("wire", lines))
+        watch.received(answer)
+    return lines
+
+
+def head_and_report():
+    yield str(Head(b"OPEN id k c=any,d=2000,t=x").parts(17.9))
+    yield str(Head(b"OPEN id k d=2000").parts(17.9))
+    yield str(Head(b"OPEN id k c=d").parts(17.9))
+    yield str(report(b"active=3,x0=0.5,odd,new=1,cpu=?", ["x0", "active", "cpu"]))
+    yield str(report(b"", ["x0"]))
+
+
+SCENARIOS = {run.__name__: run for run in (
+    last_byte, line_by_bytes, move_waits, backpressure, watch_by_bytes, watch_refused, head_and_report)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_trace(name):
+    assert kept(name, list(SCENARIOS[name]()))
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -86,10 +86,9 @@
         self.wire.part()
 
     def move(self):
-        """Between two lines only: half a line from the server is waited for, within reason."""
+        """Between two lines only: half a line from the server is waited for."""
         self.moving = not self.dial.between_lines
         if self.moving:
-            self.set_timer(self.limits.linger, self.dial.close)
             return False
         self.dial.timer.cancel()
         self.answer(b"MOVE")
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -181,6 +181,9 @@
             if client.asked is not None and now - client.asked >= self.limits.unanswered \
                     and not client.wire.full:
                 self.balancer.on_unanswered(now, client.sess, now - client.asked)
+                if client.moving and now - client.asked >= self.limits.half_line:
+                    # Its server will hardly end the line any more, and MOVE may not stand within one.
+                    client.dial.close()
 
     # Connections from before the start
 
@@ -201,6 +204,12 @@
         client.dial = dial = Dialled(client, server, self, self.limits, self.clock)
         dial.start(self.carrier.connect(dial, self.addresses[server]), time_out, self.limits.connect)
 
+    def may_send(self, dial):
+        """The list may have changed while the connection was coming up."""
+        sess = dial.client.sess
+        return sess not in self.clients or self.balancer.roster.may_dial(
+            self.now(), dial.server, sess.mid_flow)
+
     def dial_up(self, dial, line):
         client, sess, now = dial.client, dial.client.sess, self.now()
         client.serve(dial, line)
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -39,6 +39,8 @@
         self.timer = self.clock.after(wait, call, *args)
 
     def connected(self):
+        if not self.door.may_send(self):
+            return self.give_up(Outcome.CONNECT_FAILED)
         left = self.until - self.clock.now()
         self.set_timer(left, self.overdue)
         self.wire.send(*self.client.head.parts(left))
@@ -179,7 +181,7 @@
         if not self.asked or self.lines.rest or word != b"PONG":
             return self.end(Outcome.FULL if word == b"BUSY" else Outcome.ERROR)
         self.asked = False
-        self.set_timer(self.limits.idle, self.end, None)
+        self.set_timer(0.8 * self.limits.idle, self.end, None)
         self.door.probed(self, Outcome.COMPLETED, rest)
 
     def blocked(self, on):
