--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -34,6 +34,7 @@
         self.links = {}         # Server -> ProbeLink, the longest unused first
         self.seen = 0           # version of the list
         self.watch = None
+        self.watch_why = None   # it ended last time, and nothing came since
         self.ready = False
         self.stopping = None
         self.counts = Counter()
@@ -331,7 +332,9 @@
         self.watch.start(self.carrier.connect(self.watch, self.node.discovery))
 
     def watch_over(self, why):
-        self.log_event("watch over", why=why)
+        if why != self.watch_why:
+            self.log_event("watch over", why=why)
+        self.watch_why = why
         self.clock.after(self.limits.list_retry, self.open_watch)
 
     def follow_list(self, on):
@@ -355,6 +358,9 @@
             self.seen = found["seq"]
         self.balancer.on_list(self.now(), kind, entries)
         if kind is not ListKind.CACHED:
+            if self.watch_why is not None:
+                self.log_event("watch back")
+            self.watch_why = None
             self.get_ready()
 
     def entry(self, host):
