--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,6 +7,7 @@
 from wheathill.model import Server
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
+from wheathill.net.driver import Carrier, Wire
 from wheathill.net.lines import Head, report
 from wheathill.net.server import Dialled
 
@@ -97,6 +98,21 @@
     return lines
 
 
+def end_of_what_was_reset():
+    lines = []
+    wire = Wire(Carrier(None, LIMITS, None), lambda _: Hand("machine", lines))
+    wire.connection_made(Hand("transport", lines))
+
+    def write_eof():
+        raise OSError(107, "Transport endpoint is not connected")
+
+    wire.transport.write_eof = write_eof
+    wire.transport.is_closing = lambda: False
+    wire.finish()
+    wire.connection_lost(None)
+    return lines
+
+
 def watch_by_bytes():
     lines = []
     watch = Watch("127.0.0.1", 4, Hand("door", lines), LIMITS, Hand("clock", lines))
@@ -127,7 +143,8 @@
 
 
 SCENARIOS = {run.__name__: run for run in (
-    last_byte, line_by_bytes, move_waits, backpressure, watch_by_bytes, watch_refused, head_and_report)}
+    last_byte, line_by_bytes, move_waits, backpressure, end_of_what_was_reset, watch_by_bytes, watch_refused,
+    head_and_report)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -136,9 +136,12 @@
         if self.open and not self.finished and not self.transport.is_closing():
             self.finished = True
             if self.ended:
-                self.transport.close()
-            else:
+                return self.transport.close()
+            try:
                 self.transport.write_eof()
+            except OSError:
+                # The peer has reset it, which has not been read yet.
+                self.transport.abort()
 
     def part(self):
         """Ends politely: closed at once, bytes that the peer sent meanwhile would make the kernel
