Half lines ask for nothing, a list read in part is no whole list, the log never holds up the end

Found by reading: a client that pauses within a line would have been moved as if its server were silent; a whole list with one entry that can't be read made that server count as gone; a stopping proxy answered PING with PONG; a log nobody reads could have held up the exit; sockets being set up were counted a turn late. The ticks go on after a fault in one.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -87,6 +87,17 @@
     return lines
 
 
+def half_a_line_asks_nothing():
+    client, dial, lines = dialled()
+    dial.connected()
+    client.received(b"sent ear")
+    client.serve(dial, b"UP r\r\n")
+    lines.append(f"asked: {client.asked}")
+    client.received(b"ly\r\nand half")
+    lines.append(f"asked: {client.asked}")
+    return lines
+
+
 def backpressure():
     client, dial, lines = dialled()
     dial.connected()
@@ -143,8 +154,8 @@
 
 
 SCENARIOS = {run.__name__: run for run in (
-    last_byte, line_by_bytes, move_waits, backpressure, end_of_what_was_reset, watch_by_bytes, watch_refused,
-    head_and_report)}
+    last_byte, line_by_bytes, move_waits, half_a_line_asks_nothing, backpressure, end_of_what_was_reset,
+    watch_by_bytes, watch_refused, head_and_report)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -213,6 +213,7 @@
         rig.lines.append(rig.watched())
         rig.tell(rig.list("a", whole=False, health="gone"))
         rig.tell(rig.list("b", whole=False))
+        rig.tell({"seq": 3, "whole": True, "hosts": [{"host": "b", "health": "asleep"}]})
         rig.up("k2", names=("a", "b", "c"))
         rig.tell({"seq": "none"})
         rig.watch.say("5\r\n{[}]\n")
--- a/wheathill/__main__.py
+++ b/wheathill/__main__.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
+from dataclasses import replace
 
 from wheathill.config import Misconfigured, read_node
 from wheathill.net.clock import Clock
@@ -31,9 +33,18 @@
     await stopped.wait()
 
 
+def allow_sockets(node):
+    """As many descriptors as the proxy is told it may hold, where the system lets it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = node.limits.sockets if hard == resource.RLIM_INFINITY else min(node.limits.sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    return replace(node, limits=replace(node.limits, sockets=most))
+
+
 def main():
     try:
-        node = read_node(os.environ)
+        node = allow_sockets(read_node(os.environ))
         log = Log(node.name, node.limits.log_lines)
         try:
             asyncio.run(serve(node, log))
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -34,9 +34,7 @@
 
     def received(self, data):
         if self.up:
-            if self.asked is None:
-                self.asked = self.clock.now()
-            self.dial.wire.send(bytes(data))
+            self.pass_on(bytes(data))
         elif self.head is not None:
             self.early += data
             if len(self.early) > self.limits.buffer:
@@ -68,11 +66,16 @@
         self.timer.cancel()
         self.wire.send(line)
         if self.early:
-            self.asked = self.clock.now()
-            dial.wire.send(self.early)
+            self.pass_on(self.early)
             self.early = b""
             self.wire.hold(False)
 
+    def pass_on(self, data):
+        # Half a line asks for nothing yet.
+        if self.asked is None and b"\n" in data:
+            self.asked = self.clock.now()
+        self.dial.wire.send(data)
+
     def answered(self):
         """The server has sent a line back."""
         if self.asked is not None:
@@ -116,6 +119,7 @@
 
     def fault(self):
         self.lost(True)
-        if not self.up:
+        if self.up:
+            self.wire.abort(reset=True)
+        else:
             self.answer(b"ERR")
-        self.wire.abort(reset=self.up)
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -30,6 +30,8 @@
 
     def connect(self, machine, address):
         wire = Wire(self, lambda _: machine)
+        # Counted from the start: a connection that is being set up holds a descriptor.
+        wire.count(True)
         wire.task = self.loop.create_task(wire.connect(address))
         return wire
 
@@ -45,26 +47,22 @@
         self.ended = False          # the peer sends no more
         self.parted = False         # the machine is done with it
         self.over = False
+        self.counted = False
 
     async def connect(self, address):
-        # Counted from the start: a connection that is being set up holds a descriptor.
-        self.carrier.sockets += 1
         try:
             await self.carrier.loop.create_connection(lambda: self, *address)
         except OSError:
-            self.carrier.sockets -= 1
+            self.count(False)
             self.tell_lost(False)
-        except BaseException:
-            if self.transport is None:
-                self.carrier.sockets -= 1
-            raise
-        finally:
-            self.task = None
+
+    def count(self, on):
+        self.carrier.sockets += on - self.counted
+        self.counted = on
 
     def connection_made(self, transport):
         self.transport = transport
-        if self.task is None:
-            self.carrier.sockets += 1
+        self.count(True)
         if self.over:
             transport.abort()
             return
@@ -97,7 +95,7 @@
         self.guard(self.machine.blocked, False)
 
     def connection_lost(self, wrong):
-        self.carrier.sockets -= 1
+        self.count(False)
         self.tell_lost(wrong is not None)
 
     def tell_lost(self, reset):
@@ -161,7 +159,7 @@
         self.over = True
         if self.transport is None:
             self.task.cancel()
-            return
+            return self.count(False)
         if reset:
             self.transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/wheathill/net/log.py
+++ b/wheathill/net/log.py
@@ -1,45 +1,42 @@
 """One JSON line an event, on standard output."""
 
+import os
 import queue
 import sys
+import threading
 import time
-from logging import INFO, Formatter, LogRecord, StreamHandler
-from logging.handlers import QueueHandler, QueueListener
 
 import orjson
 
 
-class JsonLine(Formatter):
-    def format(self, record):
-        return orjson.dumps(record.msg, default=str).decode()
-
-
-class Sink(QueueHandler):
-    def prepare(self, record):
-        return record
-
-    def enqueue(self, record):
-        try:
-            self.queue.put_nowait(record)
-        except queue.Full:
-            pass        # a reader that stands still must not stop the proxy
-
-
 class Log:
     """A thread does the writing: standard output may be a pipe that nobody empties."""
 
     def __init__(self, name, most_lines, out=None):
         self.name = name
-        lines = queue.Queue(most_lines)
-        writer = StreamHandler(out or sys.stdout)
-        writer.setFormatter(JsonLine())
-        self.sink = Sink(lines)
-        self.listener = QueueListener(lines, writer)
-        self.listener.start()
+        self.out = sys.stdout.fileno() if out is None else out
+        self.lines = queue.Queue(most_lines)
+        self.writer = threading.Thread(target=self.write, daemon=True)
+        self.writer.start()
 
     def __call__(self, event, **fields):
         line = {"time": round(time.time(), 3), "node": self.name, "event": event, **fields}
-        self.sink.handle(LogRecord("wheathill", INFO, "", 0, line, (), None))
+        self.put(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+    def put(self, line):
+        try:
+            self.lines.put_nowait(line)
+        except queue.Full:
+            pass        # a reader that stands still must not stop the proxy
+
+    def write(self):
+        while line := self.lines.get():
+            try:
+                while line:
+                    line = line[os.write(self.out, line):]
+            except OSError:
+                pass    # nobody reads any more; serving goes on
 
     def close(self):
-        self.listener.stop()
+        self.put(b"")
+        self.writer.join(1.0)
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -55,7 +55,7 @@
         self.clock.after(self.limits.figures, self.log_figures)
 
     def get_ready(self):
-        if not self.ready:
+        if not self.ready and self.stopping is None:
             self.ready = True
             self.log_event("ready", servers=len(self.servers))
 
@@ -63,6 +63,7 @@
         """Newcomers still come for a while and are served; `stopped` is called when all is done."""
         if self.stopping is None:
             self.stopping = self.now()
+            self.ready = False
             self.log_event("stopping", sessions=len(self.clients))
             self.clock.after(self.limits.newcomers, self.wait_for_end, stopped)
             self.balancer.on_stop(self.stopping, False)
@@ -354,6 +355,8 @@
                 entries.append(self.entry(host))
             except (KeyError, TypeError, ValueError) as wrong:
                 self.log_event("bad input", what=f"an entry of the list: {wrong!r}")
+                # Not taken for the whole list: the server that it is about would count as gone.
+                kind = ListKind.CHANGES
         if isinstance(found.get("seq"), int):
             self.seen = found["seq"]
         self.balancer.on_list(self.now(), kind, entries)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -877,8 +877,8 @@
         if name == "follow":
             self.roster.ask(now)
         elif name == "tick":
-            self.tick(now)
             self.actions.alarm("tick", now + self.TICK)
+            self.tick(now)
         elif name.startswith("wait "):
             self.placement.out_of_patience(now, int(name[5:]))
         elif name == "probe" and self.next_probes:
