--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -1,17 +1,13 @@
 """A client's connection: its first line, the wait for an answer, then lines in both directions."""
 
-from wheathill.net.lines import END, Head, Lines, Malformed
+from wheathill.net.lines import END, Head, Malformed
+from wheathill.net.machine import Machine
 
 
-class Client:
-    """Fed bytes by its wire. `door` is told of the session, `dial` is the server's side once there is one."""
-
+class Client(Machine):
     def __init__(self, wire, door, limits, clock):
+        super().__init__(door, limits, clock)
         self.wire = wire
-        self.door = door
-        self.limits = limits
-        self.clock = clock
-        self.lines = Lines(limits.line)
         self.head = None
         self.sess = None
         self.came = None
@@ -20,18 +16,12 @@
         self.up = False
         self.moving = False
         self.asked = None       # when the oldest line without an answer went to the server
-        self.timer = None
 
     def connected(self):
         self.came = self.clock.now()
         self.set_timer(self.limits.line_in, self.no_line)
         self.door.came(self)
 
-    def set_timer(self, wait, call, *args):
-        if self.timer:
-            self.timer.cancel()
-        self.timer = self.clock.after(wait, call, *args)
-
     def received(self, data):
         if self.up:
             self.pass_on(bytes(data))
--- a/wheathill/net/discovery.py
+++ b/wheathill/net/discovery.py
@@ -2,21 +2,17 @@
 
 import orjson
 
-from wheathill.net.lines import Lines, Malformed
+from wheathill.net.lines import Malformed
+from wheathill.net.machine import Machine
 
 
-class Watch:
+class Watch(Machine):
     """Asks once, then hands every line to `door`; whatever goes wrong ends it, and `door` opens another."""
 
     def __init__(self, host, since, door, limits, clock):
+        super().__init__(door, limits, clock)
         self.request = (f"GET /v1/servers?stream=1&index={since} HTTP/1.1\r\n"
                         f"Host: {host}\r\nAccept: application/json\r\n\r\n").encode()
-        self.door = door
-        self.limits = limits
-        self.clock = clock
-        self.wire = None
-        self.timer = None
-        self.lines = Lines(limits.line)
         self.read = self.status
         self.chunked = False
         self.left = 0               # bytes of the present chunk
@@ -27,9 +23,7 @@
         self.quiet_from_now()
 
     def quiet_from_now(self):
-        if self.timer:
-            self.timer.cancel()
-        self.timer = self.clock.after(self.limits.list_silence, self.end, "silent")
+        self.set_timer(self.limits.list_silence, self.end, "silent")
 
     def connected(self):
         self.wire.send(self.request)
@@ -111,9 +105,6 @@
                 except ValueError as wrong:
                     raise Malformed(f"not a list: {wrong}") from None
 
-    def blocked(self, on):
-        pass
-
     def ended(self):
         self.end("ended")
 
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -1,9 +1,4 @@
-"""The only code that touches sockets: carries bytes between a connection and its state machine.
-
-A machine has five methods: `connected()`, `received(data)` where data is only good until it returns,
-`ended()` when the peer sends no more, `blocked(on)` while too much waits to be sent, and `lost(reset)`,
-the last one, also for a connection that never came up.
-"""
+"""The only code that touches sockets: carries bytes between a connection and its state machine."""
 
 import asyncio
 import socket
--- /dev/null
+++ b/wheathill/net/machine.py
@@ -0,0 +1,39 @@
+"""What the state machines share."""
+
+from wheathill.net.lines import Lines
+
+
+class Machine:
+    """Fed by a wire, of which it knows only `send`, `finish`, `part`, `abort` and `hold`; tells `door` what it
+    found. Has one timer at a time."""
+
+    def __init__(self, door, limits, clock):
+        self.door = door
+        self.limits = limits
+        self.clock = clock
+        self.lines = Lines(limits.line)
+        self.wire = None
+        self.timer = None
+
+    def set_timer(self, wait, call, *args):
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.clock.after(wait, call, *args)
+
+    def connected(self):
+        """The connection is up."""
+
+    def received(self, data):
+        """Bytes came, which are only good until this returns."""
+
+    def ended(self):
+        """The peer sends no more."""
+
+    def blocked(self, on):
+        """Bytes wait to be sent, or no longer."""
+
+    def lost(self, reset):
+        """The connection is over, or never came up. Nothing follows."""
+
+    def fault(self):
+        """One of the above raised an exception."""
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -120,7 +120,9 @@
             self.counts["no sockets"] += 1
             client.answer(b"BUSY")
         elif "at" in head.values:
-            self.stand(client, sess, now + self.limits.standing)
+            client.sess = sess
+            sess.deadline = now + self.limits.standing
+            self.stand(client, sess)
         else:
             self.clients[sess] = client
             client.sess = sess
@@ -189,16 +191,20 @@
 
     # Connections from before the start
 
-    def stand(self, client, sess, until):
-        """Up again at the server that holds it, however often that takes within the time given."""
-        client.sess = sess
-        server = self.servers.get(client.head.values["at"])
-        if server is None or self.now() >= until:
-            self.log_event("lost standing", server=client.head.values["at"])
-            return client.answer(b"ERR")
-        sess.server = server
-        sess.deadline = until
-        self.connect(client, server, until - self.now())
+    def stand(self, client, sess):
+        """Up again at the server that holds it, however often that takes within the time given. The list
+        that names it may still be on its way."""
+        name, now = client.head.values["at"], self.now()
+        if client.sess is not sess or not client.wire.open:
+            pass
+        elif now >= sess.deadline:
+            self.log_event("lost standing", server=name)
+            client.answer(b"ERR")
+        elif name in self.servers:
+            sess.server = self.servers[name]
+            self.connect(client, sess.server, sess.deadline - now)
+        else:
+            self.clock.after(self.limits.sweep, self.stand, client, sess)
 
     # Dials
 
@@ -233,7 +239,7 @@
             pass
         elif sess not in self.clients:
             # A standing connection that did not come up.
-            self.clock.after(self.limits.sweep, self.stand_again, client, sess)
+            self.clock.after(self.limits.sweep, self.stand, client, sess)
         elif dial.up:
             self.over(sess, outcome.value)
             self.balancer.on_outcome(now, sess, outcome, True)
@@ -244,10 +250,6 @@
         else:
             self.balancer.on_outcome(now, sess, outcome, False)
 
-    def stand_again(self, client, sess):
-        if client.sess is sess and client.wire.open:
-            self.stand(client, sess, sess.deadline)
-
     def odd_answer(self, dial, line):
         self.log_event("bad input", server=dial.server.name, what=repr(line[:80]))
 
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -1,25 +1,21 @@
 """A server's side: the connection of one dial, and the link for probes."""
 
 from wheathill.model import Outcome
-from wheathill.net.lines import END, Lines, Malformed
+from wheathill.net.lines import END, Malformed
+from wheathill.net.machine import Machine
 
 FIRST_WORDS = {b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"BYE": Outcome.COMPLETED,
                b"MOVE": Outcome.CANCELLED}
 LAST_WORDS = {b"BYE": Outcome.COMPLETED, b"MOVE": Outcome.CANCELLED}
 
 
-class Dialled:
+class Dialled(Machine):
     """One dial for a client. Tells `door` once how it came up, and once how it ended."""
 
     def __init__(self, client, server, door, limits, clock):
+        super().__init__(door, limits, clock)
         self.client = client
         self.server = server
-        self.door = door
-        self.limits = limits
-        self.clock = clock
-        self.lines = Lines(limits.line)
-        self.wire = None
-        self.timer = None
         self.started = clock.now()
         self.until = None       # when this dial is given up
         self.sent = False       # the line's last byte has left
@@ -33,11 +29,6 @@
         self.until = self.started + time_out
         self.set_timer(min(time_out, connect), self.give_up, Outcome.CONNECT_FAILED)
 
-    def set_timer(self, wait, call, *args):
-        if self.timer:
-            self.timer.cancel()
-        self.timer = self.clock.after(wait, call, *args)
-
     def connected(self):
         if not self.door.may_send(self):
             return self.give_up(Outcome.CONNECT_FAILED)
@@ -142,18 +133,13 @@
         self.tell_over(Outcome.ERROR)
 
 
-class ProbeLink:
+class ProbeLink(Machine):
     """Asks one server for its load, again and again over one connection."""
 
     def __init__(self, server, door, limits, clock):
+        super().__init__(door, limits, clock)
         self.server = server
-        self.door = door
-        self.limits = limits
-        self.clock = clock
-        self.lines = Lines(limits.line)
-        self.wire = None
         self.asked = False
-        self.timer = None
 
     def ask(self):
         self.asked = True
@@ -161,11 +147,6 @@
         if self.wire.open:
             self.wire.send(b"STATS", END)
 
-    def set_timer(self, wait, call, *args):
-        if self.timer:
-            self.timer.cancel()
-        self.timer = self.clock.after(wait, call, *args)
-
     def connected(self):
         self.wire.send(b"STATS", END)
 
@@ -184,9 +165,6 @@
         self.set_timer(0.8 * self.limits.idle, self.end, None)
         self.door.probed(self, Outcome.COMPLETED, rest)
 
-    def blocked(self, on):
-        pass
-
     def ended(self):
         self.end(Outcome.RESET)
 
