--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,13 +25,17 @@
 
     def __getattr__(self, what):
         def say(*args, **named):
-            shown = [str(arg) for arg in args if isinstance(arg, (bytes, str, dict, bool)) or hasattr(arg, "value")]
+            shown = [str(arg) for arg in args
+                     if isinstance(arg, (bytes, str, dict, bool)) or hasattr(arg, "value")]
             self.lines.append(" ".join([self.name, what, *shown, *map(str, named)]))
         return say
 
     def may_send(self, dial):
         return True
 
+    def get_extra_info(self, _what):
+        return Hand()
+
     def now(self):
         return 0.0
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,6 +1,5 @@
 """The program started on free loopback ports, with plain sockets in the place of its peers."""
 
-import json
 import os
 import socket
 import subprocess
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -15,7 +15,7 @@
 REPORT_NAMES = {"waiting": "queue", "cpu": "util"}
 
 
-class Misconfigured(Exception):
+class Misconfigured(ValueError):
     pass
 
 
@@ -137,6 +137,7 @@
     buffer: int = 65536                 # held for a peer that does not read, each way
     line_in: float = 5000.0             # for a client's first line
     linger: float = 1000.0              # for the peer's end after ours
+    keep_alive: float = 30_000.0        # a peer that says nothing is asked by TCP whether it is there
     answer_margin: float = 15.0         # before a session's deadline, for its answer to get out
     probe: float = 500.0
     standing: float = 40_000.0          # for connections from before the start to come up again
@@ -177,7 +178,7 @@
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
         raise Misconfigured(f"{path}: {text!r} is not HOST:PORT")
-    return host, int(port)
+    return host.strip("[]"), int(port)
 
 
 def read_node(environ):
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -63,6 +63,12 @@
             return
         # Nothing may lie in the buffer unnoticed: a line counts as sent when its last byte has left.
         transport.set_write_buffer_limits(high=0)
+        # A client whose machine is gone would hold its descriptors for good.
+        sock, seconds = transport.get_extra_info("socket"), int(self.carrier.limits.keep_alive / 1000)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, seconds // 3))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
         self.guard(self.machine.connected)
 
     def get_buffer(self, _hint):
--- a/wheathill/net/machine.py
+++ b/wheathill/net/machine.py
@@ -4,8 +4,8 @@
 
 
 class Machine:
-    """Fed by a wire, of which it knows only `send`, `finish`, `part`, `abort` and `hold`; tells `door` what it
-    found. Has one timer at a time."""
+    """Fed by a wire, of which it knows only `send`, `finish`, `part`, `abort` and `hold`; tells `door` what
+    it found. Has one timer at a time."""
 
     def __init__(self, door, limits, clock):
         self.door = door
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 
+from wheathill.config import address
 from wheathill.model import ListKind, Outcome, Phase, Server, Session
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
@@ -113,7 +114,8 @@
         if tenant is not None and tenant not in self.tenants:
             self.log_event("unknown tenant", tenant=tenant)
         sess = Session(listener=listener, key=head.key, deadline=now + left - self.limits.answer_margin,
-                       tenant=self.tenants.get(tenant, 0), group=head.values.get("g") if self.node.groups else None,
+                       tenant=self.tenants.get(tenant, 0),
+                       group=head.values.get("g") if self.node.groups else None,
                        load=head.number("h"), mid_flow=head.values.get("mid") == "1",
                        returning=head.values.get("again") == "1", repeat=head.values.get("r") == "1")
         if self.carrier.free <= 0:
@@ -131,7 +133,7 @@
             self.balancer.on_session(now, sess)
 
     def late(self, client):
-        """The decisions have missed a deadline, which only a fault in them can do: the client must not suffer."""
+        """The decisions have missed a deadline, which only a fault can do: the client must not suffer."""
         self.log_event("fault", where="decisions", what="no answer in time")
         self.hung_up(client)
         client.answer(b"ERR")
@@ -160,8 +162,9 @@
         self.counts[how] += 1
         now = self.now()
         lasted = None if sess.accepted is None else round(now - sess.accepted)
-        self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted, dials=len(sess.dials),
-                       server=sess.server and sess.server.name, waited=round(now - client.came - (lasted or 0), 1))
+        self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted,
+                       waited=round(now - client.came - (lasted or 0), 1), dials=len(sess.dials),
+                       server=sess.server and sess.server.name)
         return client
 
     def message_took(self, client, spent):
@@ -374,8 +377,7 @@
         cell = int(host.get("block") or 0)
         server = self.servers.get(name) or Server(str(name))
         if host.get("dial"):
-            where, _, port = host["dial"].rpartition(":")
-            where = where, int(port)
+            where = address(host["dial"], "dial")
             if self.addresses.get(server, where) != where and server in self.links:
                 self.links[server].end(Outcome.RESET)
             self.addresses[server] = where
