--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,6 +1,7 @@
 """The program started on free loopback ports, with plain sockets in the place of its peers."""
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -259,6 +260,16 @@
         return rig.lines
 
 
+def flood_on_a_small_proxy():
+    with Rig(sockets=64) as rig:
+        rig.watched("a", "b")
+        rig.process.send_signal(signal.SIGSTOP)
+        clients = [rig.open(f"k{number}") for number in range(120)]
+        rig.process.send_signal(signal.SIGCONT)
+        answers = [client.hear() for client in clients]
+        return [f"120 clients hear {sorted(set(answers))}"]
+
+
 def probes():
     report = {"how": "on_probe", "names": ["active", "x0"]}
     limits = {"maxDials": 3, "mayProbe": True}
@@ -283,7 +294,7 @@
     serves_a_session, turned_away_twice, closed_before_the_next_dial, connection_refused, ends_passed_on,
     client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
     stop_where_connections_end, drained_server, bad_input, follows_discovery, standing_connection,
-    no_descriptor_left, probes)}
+    no_descriptor_left, flood_on_a_small_proxy, probes)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -135,7 +135,11 @@
     line: int = 4096
     read: int = 65536                   # the one receive buffer
     buffer: int = 65536                 # held for a peer that does not read, each way
+    backlog: int = 1024                 # connections that the system holds for the proxy
+    accepts: int = 8                    # taken at a time
+    accept_pause: float = 10.0          # where no descriptor is left for more
     line_in: float = 5000.0             # for a client's first line
+    ask_within: float = 100.0           # the same, where descriptors run out
     linger: float = 1000.0              # for the peer's end after ours
     keep_alive: float = 30_000.0        # a peer that says nothing is asked by TCP whether it is there
     answer_margin: float = 15.0         # before a session's deadline, for its answer to get out
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -20,8 +20,34 @@
     def free(self):
         return self.limits.sockets - self.limits.spare_sockets - self.sockets
 
-    async def listen(self, make_machine, address):
-        return await self.loop.create_server(lambda: Wire(self, make_machine), *address, backlog=1024)
+    def listen(self, make_machine, address, make_room):
+        """Accepts a few at a time, so that their lines are read before the next ones hold a descriptor:
+        asyncio's own servers take the whole backlog at once. What can't be taken waits there."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.create_server(address, family=family, backlog=self.limits.backlog)
+        sock.setblocking(False)
+
+        def accept():
+            for _ in range(self.limits.accepts):
+                if self.free < -self.limits.spare_sockets / 2:
+                    make_room()
+                    return pause()
+                try:
+                    taken, _ = sock.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    return
+                except OSError as wrong:
+                    self.log("fault", where="accept", what=repr(wrong))
+                    return pause()
+                wire = Wire(self, make_machine)
+                wire.count(True)
+                wire.task = self.loop.create_task(wire.take(taken))
+
+        def pause():
+            self.loop.remove_reader(sock)
+            self.loop.call_later(self.limits.accept_pause / 1000, self.loop.add_reader, sock, accept)
+
+        self.loop.add_reader(sock, accept)
 
     def connect(self, machine, address):
         wire = Wire(self, lambda _: machine)
@@ -44,6 +70,13 @@
         self.over = False
         self.counted = False
 
+    async def take(self, sock):
+        try:
+            await self.carrier.loop.connect_accepted_socket(lambda: self, sock)
+        except OSError:
+            sock.close()
+            self.count(False)
+
     async def connect(self, address):
         try:
             await self.carrier.loop.create_connection(lambda: self, *address)
@@ -150,7 +183,7 @@
         self.hold(False)
         self.finish()
         self.parted = True
-        if self.carrier.free < 0:
+        if self.carrier.free < self.carrier.limits.spare_sockets:
             return self.transport.close()
         self.carrier.loop.call_later(self.carrier.limits.linger / 1000, self.transport.abort)
 
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -18,6 +18,10 @@
 PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
 
 
+def busy(come_back_after):
+    return b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY"
+
+
 class Proxy:
     def __init__(self, node, carrier, clock, log):
         self.node = node
@@ -93,15 +97,15 @@
         return Client(wire, self, self.limits, self.clock)
 
     def came(self, client):
-        now = self.now()
-        self.silent[client] = now
-        oldest, since = next(iter(self.silent.items()))
-        free, spare = self.carrier.free, self.limits.spare_sockets
-        if free < -spare / 2 or free < spare and now - since > self.limits.linger:
-            # The oldest that has asked for nothing makes room; those that have asked are answered.
-            del self.silent[oldest]
-            oldest.timer.cancel()
-            oldest.wire.abort()
+        self.silent[client] = self.now()
+
+    def make_room(self):
+        """Descriptors run out: who connects without asking for anything goes, who asks is answered."""
+        late = self.now() - self.limits.ask_within
+        for client in [client for client, since in self.silent.items() if since < late]:
+            del self.silent[client]
+            client.timer.cancel()
+            client.wire.abort()
 
     def opened(self, client):
         self.silent.pop(client, None)
@@ -120,7 +124,7 @@
                        returning=head.values.get("again") == "1", repeat=head.values.get("r") == "1")
         if self.carrier.free <= 0:
             self.counts["no sockets"] += 1
-            client.answer(b"BUSY")
+            client.answer(busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
         elif "at" in head.values:
             client.sess = sess
             sess.deadline = now + self.limits.standing
@@ -275,7 +279,7 @@
             self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
 
     def refuse(self, sess, come_back_after):
-        self.over(sess, "refused").answer(b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY")
+        self.over(sess, "refused").answer(busy(come_back_after))
 
     def tear_down(self, sess):
         self.over(sess, "torn down").answer(b"ERR")
