--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -68,6 +68,21 @@
         return rig.lines
 
 
+def once_only():
+    with Rig(settings={"listeners": [{"name": "any", "repeat": "fragile", "dialTimeoutS": 2.0}]}) as rig:
+        rig.watched("a", "b")
+        client = rig.open()
+        server = rig.taken(("a", "b"))
+        server.hear()
+        server.say("BUSY")
+        server = rig.taken(("a", "b"))
+        server.hear()
+        server.reset()
+        client.hear()
+        client.hear()
+        return rig.lines
+
+
 def connection_refused():
     with Rig() as rig:
         rig.watched("a", "b")
@@ -291,8 +306,8 @@
 
 
 SCENARIOS = {run.__name__: run for run in (
-    serves_a_session, turned_away_twice, closed_before_the_next_dial, connection_refused, ends_passed_on,
-    client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
+    serves_a_session, turned_away_twice, closed_before_the_next_dial, once_only, connection_refused,
+    ends_passed_on, client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
     stop_where_connections_end, drained_server, bad_input, follows_discovery, standing_connection,
     no_descriptor_left, flood_on_a_small_proxy, probes)}
 
