--- a/wheathill/__main__.py
+++ b/wheathill/__main__.py
@@ -25,7 +25,7 @@
     loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
     loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
     try:
-        carrier.listen(proxy.client, node.listen, proxy.make_room)
+        carrier.listen(proxy.client, node.listen, proxy.room)
     except OSError as wrong:
         raise Misconfigured(f"listen: {wrong}") from None
     log("listening", at=":".join(map(str, node.listen)))
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -138,8 +138,12 @@
     backlog: int = 1024                 # connections that the system holds for the proxy
     accepts: int = 8                    # taken at a time
     accept_pause: float = 10.0          # where no descriptor is left for more
-    line_in: float = 5000.0             # for a client's first line
-    ask_within: float = 100.0           # the same, where descriptors run out
+    line_in: float = 2000.0             # for a client's first line
+    line_next: float = 10_000.0         # for the next one of a client that has sent PING
+    ids: int = 8192                     # of sessions, kept to know one that comes again
+    bad_every: float = 1000.0           # clients that said nonsense are logged, so many at most in such a time
+    bad_lines: int = 5
+    ask_within: float = 20.0            # the same, where descriptors run out
     linger: float = 1000.0              # for the peer's end after ours
     keep_alive: float = 30_000.0        # a peer that says nothing is asked by TCP whether it is there
     answer_margin: float = 15.0         # before a session's deadline, for its answer to get out
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -12,7 +12,6 @@
         self.sess = None
         self.came = None
         self.dial = None        # the one that is out or up
-        self.early = b""        # sent by the client before its session was up
         self.up = False
         self.moving = False
         self.asked = None       # when the oldest line without an answer went to the server
@@ -26,9 +25,7 @@
         if self.up:
             self.pass_on(bytes(data))
         elif self.head is not None:
-            self.early += data
-            if len(self.early) > self.limits.buffer:
-                self.wire.hold(True)
+            self.too_early()
         else:
             self.lines.feed(data)
             self.read_head()
@@ -37,16 +34,26 @@
         try:
             while self.head is None and (line := self.lines.next()) is not None:
                 if line == b"PING":
+                    if self.lines.rest:
+                        raise Malformed("more than a line at once")
                     self.wire.send(b"PONG" if self.door.ready else b"ERR", END)
-                    self.set_timer(self.limits.line_in, self.no_line)
+                    self.set_timer(self.limits.line_next, self.no_line)
                 else:
-                    self.head = Head(line)
+                    head = Head(line)
+                    if self.lines.rest:
+                        raise Malformed("more than a line at once")
+                    self.head = head
                     self.timer.cancel()
-                    self.early = self.lines.rest
                     self.door.opened(self)
         except Malformed as wrong:
             self.door.bad_client(self, str(wrong))
 
+    def too_early(self):
+        """A client waits for UP. What comes sooner was meant for a proxy, like hundreds of commands at
+        once, and must not reach a server; its session ends with it."""
+        self.door.hung_up(self)
+        self.door.bad_client(self, "more than a line before UP")
+
     def no_line(self):
         self.door.bad_client(self, "no line in time")
 
@@ -55,10 +62,6 @@
         self.up = True
         self.timer.cancel()
         self.wire.send(line)
-        if self.early:
-            self.pass_on(self.early)
-            self.early = b""
-            self.wire.hold(False)
 
     def pass_on(self, data):
         # Half a line asks for nothing yet.
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -1,6 +1,7 @@
 """The only code that touches sockets: carries bytes between a connection and its state machine."""
 
 import asyncio
+import select
 import socket
 import struct
 
@@ -20,7 +21,7 @@
     def free(self):
         return self.limits.sockets - self.limits.spare_sockets - self.sockets
 
-    def listen(self, make_machine, address, make_room):
+    def listen(self, make_machine, address, room):
         """Accepts a few at a time, so that their lines are read before the next ones hold a descriptor:
         asyncio's own servers take the whole backlog at once. What can't be taken waits there."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -29,8 +30,7 @@
 
         def accept():
             for _ in range(self.limits.accepts):
-                if self.free < -self.limits.spare_sockets / 2:
-                    make_room()
+                if not room():
                     return pause()
                 try:
                     taken, _ = sock.accept()
@@ -67,6 +67,7 @@
         self.finished = False       # we send no more
         self.ended = False          # the peer sends no more
         self.parted = False         # the machine is done with it
+        self.thrown_away = 0        # bytes that came after that
         self.over = False
         self.counted = False
 
@@ -109,7 +110,11 @@
 
     def buffer_updated(self, count):
         if not self.parted:
-            self.guard(self.machine.received, self.carrier.buffer[:count])
+            return self.guard(self.machine.received, self.carrier.buffer[:count])
+        # What comes after the end is read, so that the last line isn't lost, but not without end.
+        self.thrown_away += count
+        if self.thrown_away > self.carrier.limits.buffer:
+            self.transport.pause_reading()
 
     def eof_received(self):
         # A reader that was held and let go is told of the same end again.
@@ -150,6 +155,12 @@
     def open(self):
         return self.transport is not None and not self.over and not self.parted
 
+    @property
+    def unread(self):
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def drained(self):
         """The last byte has left. A transport that failed has emptied its buffer too."""
--- a/wheathill/net/lines.py
+++ b/wheathill/net/lines.py
@@ -1,6 +1,10 @@
 """Lines of text ended by CRLF, the head of a session, and the words of a load report."""
 
+import re
+
 END = b"\r\n"
+PRINTABLE = re.compile(rb"[ -~]+")
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
 class Malformed(Exception):
@@ -29,21 +33,24 @@
 
 
 class Head:
-    """An OPEN line, parsed in place: the line stays as it came, only the place of `d` is known."""
+    """An OPEN line, parsed in place: the line stays as it came, only the place of `d` is known.
+    Checked whole before anything is taken: servers answer what they can't use with ERR, and a session
+    that is tried at every server would make all of them look ill."""
 
     def __init__(self, line):
         self.line = line
         words = line.split(b" ")
         if len(words) != 4 or words[0] != b"OPEN" or not all(words):
             raise Malformed("not OPEN, an id, a key and a list of values")
-        try:
-            self.key = words[2].decode("ascii")
-            pairs = [pair.partition("=") for pair in words[3].decode("ascii").split(",")]
-        except UnicodeDecodeError:
-            raise Malformed("an OPEN line is ASCII") from None
+        if not PRINTABLE.fullmatch(line):
+            raise Malformed("an OPEN line is printable ASCII")
+        self.id, self.key = words[1].decode(), words[2].decode()
+        pairs = [pair.partition("=") for pair in words[3].decode().split(",")]
         if not all(name and between for name, between, _ in pairs):
             raise Malformed("the values of an OPEN line are name=value")
         self.values = {name: value for name, _, value in pairs}
+        if len(self.values) < len(pairs):
+            raise Malformed("a name stands twice in an OPEN line")
         start = len(line) - len(words[3])
         self.d_from = self.d_to = None
         for pair in words[3].split(b","):
@@ -61,13 +68,15 @@
         value = self.values.get(name)
         if value is None:
             return default
-        try:
-            number = float(value)
-        except ValueError:
-            number = float("nan")
-        if not 0.0 <= number < 1e12:
+        if not NUMBER.fullmatch(value):
             raise Malformed(f"{name} is not a number from 0 on")
-        return number
+        return float(value)
+
+    def flag(self, name):
+        value = self.values.get(name, "0")
+        if value not in ("0", "1"):
+            raise Malformed(f"{name} is neither 0 nor 1")
+        return value == "1"
 
 
 def report(text, names):
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import Counter
+from itertools import islice
 
 from wheathill.config import address
 from wheathill.model import ListKind, Outcome, Phase, Server, Session
@@ -36,6 +37,7 @@
         self.addresses = {}     # Server -> (host, port)
         self.clients = {}       # Session -> Client, in order of arrival
         self.silent = {}        # clients that have sent no line yet, oldest first
+        self.ids = {}           # of sessions taken, oldest first -> whether it is open
         self.links = {}         # Server -> ProbeLink, the longest unused first
         self.seen = 0           # version of the list
         self.watch = None
@@ -43,6 +45,7 @@
         self.ready = False
         self.stopping = None
         self.counts = Counter()
+        self.bad_since = self.bad_logged = 0
         self.balancer = Balancer(self, random.Random(node.seed), **node.balancer)
 
     def now(self):
@@ -99,13 +102,23 @@
     def came(self, client):
         self.silent[client] = self.now()
 
-    def make_room(self):
-        """Descriptors run out: who connects without asking for anything goes, who asks is answered."""
+    def room(self):
+        """Whether one more client may be taken in. Who connects without asking for anything holds a sixth of
+        the descriptors at most, as sessions take two each and need the rest: the oldest make room. A line
+        that has come and was not read yet is asked for."""
+        if self.fits():
+            return True
         late = self.now() - self.limits.ask_within
-        for client in [client for client, since in self.silent.items() if since < late]:
+        for client in [client for client, since in islice(self.silent.items(), self.limits.accepts)
+                       if since < late and not client.wire.unread]:
             del self.silent[client]
             client.timer.cancel()
             client.wire.abort()
+        return self.fits()
+
+    def fits(self):
+        return len(self.silent) < self.limits.sockets // 6 and \
+            self.carrier.free >= -self.limits.spare_sockets / 2
 
     def opened(self, client):
         self.silent.pop(client, None)
@@ -113,15 +126,16 @@
         listener = self.listeners.get(head.values.get("c"))
         if listener is None:
             raise Malformed("c names no listener")
-        left = head.number("d", listener.dial_timeout)
+        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout)
         tenant = head.values.get("t")
-        if tenant is not None and tenant not in self.tenants:
-            self.log_event("unknown tenant", tenant=tenant)
+        if tenant is not None and self.tenants and tenant not in self.tenants:
+            raise Malformed("t names no tenant")
         sess = Session(listener=listener, key=head.key, deadline=now + left - self.limits.answer_margin,
                        tenant=self.tenants.get(tenant, 0),
                        group=head.values.get("g") if self.node.groups else None,
-                       load=head.number("h"), mid_flow=head.values.get("mid") == "1",
-                       returning=head.values.get("again") == "1", repeat=head.values.get("r") == "1")
+                       load=head.number("h"), mid_flow=head.flag("mid"),
+                       returning=head.flag("again"), repeat=head.flag("r"))
+        self.note_id(head, sess)
         if self.carrier.free <= 0:
             self.counts["no sockets"] += 1
             client.answer(busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
@@ -136,6 +150,18 @@
             client.set_timer(left, self.late, client)
             self.balancer.on_session(now, sess)
 
+    def note_id(self, head, sess):
+        """Ids are new with every connection: one that was seen belongs to another client, and servers answer
+        its second session with ERR. Packets that come through this proxy again are the exception."""
+        if head.id in self.ids and not sess.mid_flow and "at" not in head.values:
+            raise Malformed("the id of another session")
+        self.ids[head.id] = sess
+        while len(self.ids) > self.limits.ids:
+            oldest = next(iter(self.ids))
+            held = self.ids.pop(oldest)
+            if held in self.clients:
+                self.ids[oldest] = held
+
     def late(self, client):
         """The decisions have missed a deadline, which only a fault can do: the client must not suffer."""
         self.log_event("fault", where="decisions", what="no answer in time")
@@ -145,7 +171,14 @@
     def bad_client(self, client, why):
         self.silent.pop(client, None)
         self.counts["bad"] += 1
-        self.log_event("bad input", what=why)
+        # They come by hundreds, at full speed: most are only counted.
+        now = self.now()
+        if now - self.bad_since >= self.limits.bad_every:
+            self.bad_since, self.bad_logged = now, 0
+        self.bad_logged += 1
+        if self.bad_logged <= self.limits.bad_lines:
+            self.log_event("bad input", what=why, so_far=self.counts["bad"])
+        client.lines.rest = b""
         client.answer(b"ERR")
 
     def hung_up(self, client):
@@ -163,6 +196,7 @@
     def over(self, sess, how):
         client = self.clients.pop(sess)
         client.sess = None
+        self.ids[client.head.id] = None
         self.counts[how] += 1
         now = self.now()
         lasted = None if sess.accepted is None else round(now - sess.accepted)
