--- a/tests/drive.py
+++ b/tests/drive.py
@@ -184,7 +184,7 @@
         self.seq = 0
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
-        config = {
+        self.config = {
             "name": "n0", "seed": "5eed", "listen": "%s:%d" % self.address,
             "discovery": "%s:%d" % self.discovery.getsockname(), "limits": {"sockets": 256, **limits},
             "known": self.list(*names) if known else {},
@@ -193,8 +193,8 @@
                          "familyInfo": {"mode": mode}, "dcs": ["x", "y"], "tenants": [{"name": "t"}],
                          "obligations": {"drainGraceS": 0.5}, **(settings or {})}}
         self.folder = tempfile.TemporaryDirectory()
-        path = pathlib.Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(config))
+        path = self.path = pathlib.Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps(self.config))
         self.process = subprocess.Popen([sys.executable, "-m", "wheathill"], stdout=subprocess.PIPE,
                                         env={**os.environ, "NODE_CONFIG": str(path)})
         self.watch = None
@@ -264,6 +264,12 @@
         client.hear()
         return client, server
 
+    def reload(self, then="reloaded", **changed):
+        self.path.write_text(json.dumps({**self.config, **changed}))
+        self.process.send_signal(signal.SIGHUP)
+        found = self.until_logged(then)
+        self.lines.append(f"{then}: {found.get('what') or found.get('needs_restart')}")
+
     def stop(self):
         self.process.send_signal(signal.SIGTERM)
         self.until_logged("stopping")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -296,6 +296,43 @@
         return rig.lines
 
 
+def reloads():
+    with Rig() as rig:
+        rig.watched("a", "b")
+        client, server = rig.up()
+        rig.reload("bad configuration", limits={"sockets": "many"})
+        old, old_list = rig.watch, rig.discovery
+        rig.discovery = listener()
+        there = "%s:%d" % rig.discovery.getsockname()
+        rig.reload(discovery=there, listen="127.0.0.1:1", limits={"sockets": 200},
+                   settings={**rig.config["settings"], "obligations": {"drainGraceS": 0.1},
+                             "listeners": [{"name": "any", "repeat": "retryable", "dialTimeoutS": 1.0},
+                                           {"name": "added", "repeat": "retryable", "dialTimeoutS": 1.0}]})
+        old.hear()
+        held = rig.open("before-the-list", c="added", name="newcomer")
+        rig.taken(("a", "b")).hear()
+        rig.lines.append(rig.watched("b"))
+        client.say("still here")
+        server.hear()
+        for number in range(4):
+            rig.open(f"after-{number}", name="newcomer")
+            rig.taken(("a", "b")).hear()
+        rig.reload(discovery=there)
+        old_list.setblocking(False)
+        try:
+            old_list.accept()
+        except BlockingIOError:
+            rig.lines.append("nobody asks at the old address")
+        rig.process.send_signal(signal.SIGHUP)
+        rig.process.send_signal(signal.SIGTERM)
+        rig.process.send_signal(signal.SIGHUP)
+        del held
+        client.finish()
+        server.finish()
+        rig.end()
+        return rig.lines
+
+
 def standing_connection():
     with Rig() as rig:
         rig.watched("a", "b")
@@ -365,7 +402,7 @@
     serves_a_session, turned_away_twice, closed_before_the_next_dial, once_only, connection_refused,
     ends_passed_on, client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
     stop_where_connections_end, drained_server, bad_input, id_of_another, more_before_up, says_nothing,
-    follows_discovery, standing_connection,
+    follows_discovery, reloads, standing_connection,
     no_descriptor_left, flood_on_a_small_proxy, probes)}
 
 
--- a/wheathill/__main__.py
+++ b/wheathill/__main__.py
@@ -22,6 +22,7 @@
     carrier = Carrier(loop, node.limits, log)
     proxy = Proxy(node, carrier, clock, log)
     stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload, proxy, log)
     loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
     loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
     try:
@@ -33,6 +34,14 @@
     await stopped.wait()
 
 
+def reload(proxy, log):
+    """Read and checked whole first: with a faulty file the proxy goes on as it was."""
+    try:
+        proxy.reload(allow_sockets(read_node(os.environ)))
+    except Misconfigured as wrong:
+        log("bad configuration", what=str(wrong))
+
+
 def allow_sockets(node):
     """As many descriptors as the proxy is told it may hold, where the system lets it."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -43,6 +52,8 @@
 
 
 def main():
+    # Until the proxy can read its configuration again, the order to do so must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         node = allow_sockets(read_node(os.environ))
         log = Log(node.name, node.limits.log_lines)
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -180,6 +180,21 @@
     moves_at_stop: bool
     report_fields: list
     balancer: dict
+    told: dict                          # the configuration as it was read
+
+# What a running proxy takes from a configuration that is read again. `known` and `seed` are for a start only.
+IN_PLACE = ("discovery", "limits", "settings.listeners", "settings.tenants", "settings.limits.connectTimeoutS",
+            "settings.limits.idleCloseS", "known", "seed")
+
+
+def needs_restart(old, new, path=""):
+    """The keys, by their paths, whose change can't be taken in place."""
+    if path in IN_PLACE or old == new:
+        return []
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        return [path]
+    return [found for key in dict.fromkeys([*old, *new])
+            for found in needs_restart(old.get(key), new.get(key), f"{path}.{key}" if path else key)]
 
 
 def address(text, path):
@@ -216,4 +231,4 @@
         tenants=[item.text("name", "") for item in settings.parts("tenants")],
         zones=settings.texts("dcs"), groups=settings.part("familyInfo").flag("groups"),
         moves_at_stop=not balancer["passes_through"],
-        report_fields=settings.part("report").texts("names"), balancer=balancer)
+        report_fields=settings.part("report").texts("names"), balancer=balancer, told=top.values)
--- a/wheathill/net/discovery.py
+++ b/wheathill/net/discovery.py
@@ -17,15 +17,18 @@
         self.chunked = False
         self.left = 0               # bytes of the present chunk
         self.text = b""             # of an unfinished JSON line
+        self.left_for_good = False
 
     def start(self, wire):
         self.wire = wire
-        self.quiet_from_now()
+        # Refused or not there at all: it has to be tried again soon, as the list counts as told.
+        self.set_timer(self.limits.list_wait, self.end, "silent")
 
     def quiet_from_now(self):
         self.set_timer(self.limits.list_silence, self.end, "silent")
 
     def connected(self):
+        self.quiet_from_now()
         self.wire.send(self.request)
 
     def received(self, data):
@@ -99,7 +102,7 @@
         if len(self.text) > self.limits.list_line:
             raise Malformed("a list too long")
         for line in lines:
-            if line.strip():
+            if line.strip() and not self.left_for_good:
                 try:
                     self.door.listed(orjson.loads(line))
                 except ValueError as wrong:
@@ -115,6 +118,12 @@
         self.end("fault")
 
     def end(self, why):
+        if not self.left_for_good:
+            self.leave()
+            self.door.watch_over(why)
+
+    def leave(self):
+        """Nothing that still comes is told, and `door` opens no other for it."""
+        self.left_for_good = True
         self.timer.cancel()
         self.wire.abort()
-        self.door.watch_over(why)
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from itertools import islice
 
-from wheathill.config import address
+from wheathill.config import address, needs_restart
 from wheathill.model import ListKind, Outcome, Phase, Server, Session
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
@@ -25,13 +25,11 @@
 
 class Proxy:
     def __init__(self, node, carrier, clock, log):
-        self.node = node
-        self.limits = node.limits
         self.carrier = carrier
+        self.take(node)
+        self.started_with = node.told
         self.clock = clock
         self.log_event = log
-        self.listeners = {listener.name: listener for listener in node.listeners}
-        self.tenants = {name: place for place, name in enumerate(node.tenants)}
         self.zones = {name: place for place, name in enumerate(node.zones)}
         self.servers = {}       # by name
         self.addresses = {}     # Server -> (host, port)
@@ -41,6 +39,7 @@
         self.links = {}         # Server -> ProbeLink, the longest unused first
         self.seen = 0           # version of the list
         self.watch = None
+        self.next_watch = None  # the alarm that opens it again
         self.watch_why = None   # it ended last time, and nothing came since
         self.ready = False
         self.stopping = None
@@ -48,10 +47,28 @@
         self.bad_since = self.bad_logged = 0
         self.balancer = Balancer(self, random.Random(node.seed), **node.balancer)
 
+    def take(self, node):
+        self.node = node
+        self.limits = self.carrier.limits = node.limits
+        self.listeners = {listener.name: listener for listener in node.listeners}
+        self.tenants = {name: place for place, name in enumerate(node.tenants)}
+
     def now(self):
         return self.clock.now()
 
-    # Start and stop
+    # Start, new configurations and stop
+
+    def reload(self, node):
+        """Sessions, servers and slots stay as they are; sessions that are open keep the listener that they
+        were taken with. Servers stay known until the list at a new address has come whole."""
+        old = self.node
+        self.take(node)
+        self.log_event("reloaded", needs_restart=needs_restart(self.started_with, node.told))
+        if node.discovery != old.discovery:
+            # Versions count at one address; asked for from the first, the new one tells the whole list.
+            self.seen = 0
+            self.watch.leave()
+            self.open_watch()
 
     def start(self):
         self.balancer.on_start(self.now())
@@ -372,6 +389,8 @@
     # The list of servers
 
     def open_watch(self):
+        if self.next_watch:
+            self.next_watch.cancel()
         self.watch = Watch(self.node.discovery[0], self.seen, self, self.limits, self.clock)
         self.watch.start(self.carrier.connect(self.watch, self.node.discovery))
 
@@ -379,7 +398,7 @@
         if why != self.watch_why:
             self.log_event("watch over", why=why)
         self.watch_why = why
-        self.clock.after(self.limits.list_retry, self.open_watch)
+        self.next_watch = self.clock.after(self.limits.list_retry, self.open_watch)
 
     def follow_list(self, on):
         """The watch is always open: the agent is on this machine and costs nothing."""
