--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -219,7 +219,9 @@
         lasted = None if sess.accepted is None else round(now - sess.accepted)
         self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted,
                        waited=round(now - client.came - (lasted or 0), 1), dials=len(sess.dials),
-                       server=sess.server and sess.server.name)
+                       server=sess.server and sess.server.name,
+                       came="mid-flow" if sess.mid_flow else "back" if sess.returning
+                       else "repeat" if sess.repeat else "first")
         return client
 
     def message_took(self, client, spent):
