--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -158,9 +158,12 @@
         rig.watched("a", "b")
         client, server = rig.up()
         rig.stop()
-        newcomer, _ = rig.up("late", name="newcomer")
+        newcomer, late = rig.up("late", name="newcomer")
+        time.sleep(2.5)     # longer than the longest dial timeout
         client.say("still here")
         server.hear()
+        for peer in (client, server, newcomer, late):
+            peer.finish()
         rig.end()
         return rig.lines
 
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -158,6 +158,7 @@
     sweep: float = 250.0
     newcomers: float = 800.0            # after the order to stop, clients still come for so long
     stop_margin: float = 400.0          # beyond the longest dial, for a proxy that stops
+    stop_hold: float = 30_000.0         # the longest that one through which packets pass goes on
     stop_linger: float = 150.0
     log_lines: int = 10_000             # held for a reader that does not read
     figures: float = 10_000.0           # how often counts are logged
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -95,11 +95,13 @@
 
     def wait_for_end(self, stopped):
         now = self.now()
-        last = now >= self.stopping + self.limits.longest_dial + self.limits.stop_margin
+        # Where packets pass through, what is open goes on at other proxies once this one is killed, but
+        # breaks if it ends by itself: all its clients then came back at once, and were refused.
+        most = self.limits.longest_dial + self.limits.stop_margin if self.node.moves_at_stop \
+            else self.limits.stop_hold
+        last = now >= self.stopping + most
         self.balancer.on_stop(now, last)
-        # What is left when nobody waits any more is what goes on without this proxy.
-        waiting = any(not client.up for client in self.clients.values())
-        if last or not waiting and not (self.clients and self.node.moves_at_stop):
+        if last or not self.clients:
             self.log_event("stopped", sessions=len(self.clients), since_start=self.counts)
             # The last MOVE lines are on their way: an end too soon would overtake them.
             self.clock.after(self.limits.stop_linger, stopped)
