Beliefs stand beside the sockets in the log; buffers fit the memory told; gone servers forgotten

Checked with the new test: after resets from both sides, ends, a give-up, a refusal, moves and a reload, sessions up, sessions that the decisions count at servers, and descriptors in /proc agree (2, 2 and 5). Found by reading, not by a loss: Proxy.servers kept every name for good; Limits.read and list_line did not follow memory_mb; PING was answered without end.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -269,6 +269,12 @@
         self.process.send_signal(signal.SIGHUP)
         found = self.until_logged(then)
         self.lines.append(f"{then}: {found.get('what') or found.get('needs_restart')}")
+        return found
+
+    def sockets(self):
+        """What the system says that the program holds, without its listening one and the loop's own two."""
+        links = [os.readlink(path) for path in pathlib.Path(f"/proc/{self.process.pid}/fd").iterdir()]
+        return sum(link.startswith("socket:") for link in links) - 3
 
     def stop(self):
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,7 @@
 import pytest
 
 from drive import kept
-from wheathill.config import Limits
+from wheathill.config import Limits, buffers
 from wheathill.model import Server
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
@@ -149,6 +149,21 @@
     return lines
 
 
+def buffers_and_memory():
+    for memory, sockets in ((192, 1024), (80, 384), (32, 1024), (32, 256)):
+        yield f"{memory} MB, {sockets} descriptors: {buffers(memory, sockets)}"
+
+
+def too_many_pings():
+    lines = []
+    client = Client(Hand("client", lines), Hand("door", lines), LIMITS, Hand("clock", lines))
+    client.connected()
+    for _ in range(25):
+        client.received(b"PING\r\n")
+        if "door bad_client" in lines[-1]:
+            return [f"{lines[-1]} after {sum('client send' in line for line in lines)} answers"]
+
+
 def head_and_report():
     yield str(Head(b"OPEN id k c=any,d=2000,t=x").parts(17.9))
     yield str(Head(b"OPEN id k d=2000").parts(17.9))
@@ -159,7 +174,7 @@
 
 SCENARIOS = {run.__name__: run for run in (
     last_byte, line_by_bytes, move_waits, half_a_line_asks_nothing, backpressure, end_of_what_was_reset,
-    watch_by_bytes, watch_refused, head_and_report)}
+    watch_by_bytes, watch_refused, buffers_and_memory, too_many_pings, head_and_report)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -336,6 +336,33 @@
         return rig.lines
 
 
+def beliefs_and_sockets():
+    with Rig(mode="proxy") as rig:
+        rig.watched("a", "b")
+        held = [rig.up(f"k{number}") for number in range(8)]
+        del rig.lines[:]
+        held[0][1].reset()
+        held[1][0].reset()
+        held[2][1].finish()
+        for number in range(3):
+            held[number][number == 1].hear()
+        given_up = rig.open("given-up", d=150)
+        dials = [rig.taken(("a", "b")) for _ in range(2)]
+        given_up.hear()
+        rig.client("silent client").hear()
+        rig.tell(rig.list("a", whole=False, health="draining"))
+        for client, server in held[3:]:
+            if server.name == "server a":
+                client.hear()
+        del dials
+        time.sleep(1.2)     # ends of what was answered are waited for so long
+        found = rig.reload()
+        rig.lines.append(", ".join(f"{name} {found[name]}" for name in ("up", "placed", "servers")))
+        rig.lines.append(f"sockets as many as believed: {found['sockets'] == rig.sockets()}, {found['sockets']}")
+        rig.tell(rig.list("a", whole=False, health="gone"))
+        return rig.lines
+
+
 def standing_connection():
     with Rig() as rig:
         rig.watched("a", "b")
@@ -405,7 +432,7 @@
     serves_a_session, turned_away_twice, closed_before_the_next_dial, once_only, connection_refused,
     ends_passed_on, client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
     stop_where_connections_end, drained_server, bad_input, id_of_another, more_before_up, says_nothing,
-    follows_discovery, reloads, standing_connection,
+    follows_discovery, reloads, beliefs_and_sockets, standing_connection,
     no_descriptor_left, flood_on_a_small_proxy, probes)}
 
 
@@ -419,6 +446,7 @@
      '"name": "n", "seed": ""}', "limits.sockets"),
     ('{"settings": {"listeners": [{"repeat": "often"}]}}', "settings.listeners[0].repeat"),
     ('{"settings": {"listeners": [{}]}, "listen": "here"}', "listen"),
+    ('{"settings": {"listeners": [{}]}, "limits": {"memory_mb": 8}}', "limits.memory_mb"),
     ("{", "NODE_CONFIG")])
 def test_bad_configuration(tmp_path, config, key):
     path = tmp_path / "config.json"
--- a/wheathill/config.py
+++ b/wheathill/config.py
@@ -139,6 +139,8 @@
     accepts: int = 8                    # taken at a time
     accept_pause: float = 10.0          # where no descriptor is left for more
     line_in: float = 2000.0             # for a client's first line
+    ping_every: float = 50.0            # and no more of these than one in such a time, but for the first few
+    pings: int = 20
     line_next: float = 10_000.0         # for the next one of a client that has sent PING
     ids: int = 8192                     # of sessions, kept to know one that comes again
     bad_every: float = 1000.0           # clients that said nonsense are logged, so many at most in such a time
@@ -160,10 +162,17 @@
     stop_margin: float = 400.0          # beyond the longest dial, for a proxy that stops
     stop_hold: float = 30_000.0         # the longest that one through which packets pass goes on
     stop_linger: float = 150.0
-    log_lines: int = 10_000             # held for a reader that does not read
+    log_lines: int = 4000               # held for a reader that does not read
     figures: float = 10_000.0           # how often counts are logged
 
 
+def buffers(memory_mb, sockets):
+    """Each descriptor may hold one read that its peer does not take yet, and a list is parsed whole: both
+    must fit beside the program itself."""
+    room = max(4.0, memory_mb - 22.0) * 2 ** 20
+    return {"read": int(min(65536, max(4096, room / 2 / sockets))), "list_line": int(min(2 ** 22, room / 8))}
+
+
 @dataclass(frozen=True)
 class Node:
     """What one proxy is told at its start."""
@@ -220,11 +229,12 @@
     if not listeners:
         raise Misconfigured("settings.listeners: names none")
     balancer = balancer_settings(settings)
+    sockets = allowed.count("sockets", 1024, least=64)
     where = {key: address(top.text(key, environ.get("NODE_" + key.upper())), key)
              for key in ("listen", "discovery")}
     return Node(
         name=top.text("name", environ.get("NODE_NAME")), **where, seed=top.text("seed"),
-        limits=Limits(sockets=allowed.count("sockets", 1024, least=64),
+        limits=Limits(sockets=sockets, **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
                       longest_dial=max(listener.dial_timeout for listener in listeners),
                       idle=settings.part("limits").ms("idleCloseS", 30_000.0)),
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -13,6 +13,7 @@
         self.came = None
         self.dial = None        # the one that is out or up
         self.up = False
+        self.pings = 0
         self.moving = False
         self.asked = None       # when the oldest line without an answer went to the server
 
@@ -34,7 +35,9 @@
         try:
             while self.head is None and (line := self.lines.next()) is not None:
                 if line == b"PING":
-                    if self.lines.rest:
+                    self.pings += 1
+                    allowed = self.limits.pings + (self.clock.now() - self.came) / self.limits.ping_every
+                    if self.lines.rest or self.pings > allowed:
                         raise Malformed("more than a line at once")
                     self.wire.send(b"PONG" if self.door.ready else b"ERR", END)
                     self.set_timer(self.limits.line_next, self.no_line)
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -63,7 +63,7 @@
         were taken with. Servers stay known until the list at a new address has come whole."""
         old = self.node
         self.take(node)
-        self.log_event("reloaded", needs_restart=needs_restart(self.started_with, node.told))
+        self.log_event("reloaded", needs_restart=needs_restart(self.started_with, node.told), **self.beliefs())
         if node.discovery != old.discovery:
             # Versions count at one address; asked for from the first, the new one tells the whole list.
             self.seen = 0
@@ -110,8 +110,21 @@
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
-        self.log_event("figures", sessions=len(self.clients), sockets=self.carrier.sockets,
-                       since_start=self.counts)
+        self.log_event("figures", **self.beliefs(), since_start=self.counts)
+
+    def beliefs(self):
+        """What the decisions take for true, beside what the sockets hold."""
+        now, balancer = self.now(), self.balancer
+        servers = list(balancer.roster.servers)
+        left_out = {server.name: why for why, test in (
+            ("cold, past its budget", lambda server: not balancer.cold.allows(now, server)),
+            ("full", lambda server: balancer.levels.expected(now, server) >= balancer.levels.full),
+            ("late", lambda server: balancer.levels.late_now(now, server)),
+            ("failing", lambda server: balancer.health.failing(now, server)),
+            ("silent", balancer.health.silent)) for server in servers if test(server)}
+        return {"sessions": len(self.clients), "up": sum(client.up for client in self.clients.values()),
+                "placed": sum(len(server.sessions) for server in self.servers.values()),
+                "sockets": self.carrier.sockets, "servers": len(servers), "left_out": left_out}
 
     # Clients
 
@@ -426,12 +439,23 @@
         if isinstance(found.get("seq"), int):
             self.seen = found["seq"]
         self.balancer.on_list(self.now(), kind, entries)
+        self.forget_gone()
         if kind is not ListKind.CACHED:
             if self.watch_why is not None:
                 self.log_event("watch back")
             self.watch_why = None
             self.get_ready()
 
+    def forget_gone(self):
+        """Names may be new with every release: those that left would add up. One that comes back is new."""
+        ready = self.balancer.roster.servers
+        for name, server in list(self.servers.items()):
+            if server.phase is Phase.GONE and server not in ready and not server.sessions:
+                if server in self.links:
+                    self.links[server].end(Outcome.RESET)
+                del self.servers[name]
+                self.addresses.pop(server, None)
+
     def entry(self, host):
         name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
         weight = float(host.get("share") or 1.0)
