--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -446,7 +446,8 @@
      '"name": "n", "seed": ""}', "limits.sockets"),
     ('{"settings": {"listeners": [{"repeat": "often"}]}}', "settings.listeners[0].repeat"),
     ('{"settings": {"listeners": [{}]}, "listen": "here"}', "listen"),
-    ('{"settings": {"listeners": [{}]}, "limits": {"memory_mb": 8}}', "limits.memory_mb"),
+    ('{"settings": {"listeners": [{}]}, "limits": {"memory_mb": 8}, "listen": "h:1", "discovery": "h:1",'
+     '"name": "n", "seed": ""}', "limits.memory_mb"),
     ("{", "NODE_CONFIG")])
 def test_bad_configuration(tmp_path, config, key):
     path = tmp_path / "config.json"
