--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -12,7 +12,7 @@
 import math
 import sys
 from array import array
-from collections import deque
+from collections import Counter, deque
 from itertools import chain, repeat
 from operator import truediv
 from statistics import fmean, median
@@ -80,8 +80,7 @@
     def accepted(self, now, sess):
         self.sessions[sess.slot][sess] = None
         if sess.group is not None:
-            holders = self.holders.setdefault(sess.group, {})
-            holders[sess.server] = holders.get(sess.server, 0) + 1
+            self.holders.setdefault(sess.group, Counter())[sess.server] += 1
         if sess.server not in (self.current[sess.slot], self.new[sess.slot]):
             self.except_key(now, sess)
 
@@ -89,11 +88,8 @@
         self.sessions[sess.slot].pop(sess, None)
         self.exceptions.pop(sess.key, None)
         if sess.group is not None:
-            holders = self.holders[sess.group]
-            holders[sess.server] -= 1
-            if not holders[sess.server]:
-                del holders[sess.server]
-            if not holders:
+            self.holders[sess.group] -= Counter((sess.server,))     # keeps what is above none
+            if not self.holders[sess.group]:
                 del self.holders[sess.group]
 
     def except_key(self, now, sess):
@@ -108,10 +104,6 @@
             server.draws = slot_draws(server.name, self.size)
         server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
-    @staticmethod
-    def best(slot, servers):
-        return min(servers, default=None, key=lambda server: server.draws[slot] / server.pull)
-
     def others(self, slot):
         """The servers that the slots after this one lead to, each once: whom to try where the slot's own
         will not do. Every proxy finds the same ones, and none goes over the whole fleet for a session."""
@@ -149,7 +141,8 @@
             return
         for slot in range(self.size):
             if self.home[slot] in left:
-                self.home[slot] = home = self.best(slot, live)
+                home = min(live, default=None, key=lambda server: server.draws[slot] / server.pull)
+                self.home[slot] = home
                 self.lowest[slot] = home.draws[slot] / home.pull if home else math.inf
             if self.new[slot] in left:
                 self.clear(slot)
@@ -245,9 +238,7 @@
 
     def figures(self, now, servers):
         """Of those that have one: with hundreds of proxies each sees few servers at a time."""
-        since = now - self.fresh
-        return {server: self.figure(now, server) for server in servers
-                if server.samples and server.samples[-1][0] > since}
+        return {server: found for server in servers if (found := self.figure(now, server)) is not None}
 
     def learn(self, now, warm):
         """What a warm server bears at full load, in this proxy's own connections. A proxy among hundreds
@@ -793,8 +784,9 @@
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
 
     def on_session(self, now, sess):
-        # Clients that come again pay for nothing: in trouble each comes many times.
-        if not (sess.repeat or sess.returning or sess.mid_flow):
+        # Clients that come again pay for nothing: in trouble each comes many times. Packets of open connections
+        # pay: they come as another proxy ends, and all that they bring is unknown to a proxy just started.
+        if not (sess.repeat or sess.returning):
             self.probes.session(self.roster.servers)
         self.first.enter(now, sess)
 
