--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -362,8 +362,20 @@
     return [line for line in d.lines if "shift" not in line]
 
 
+def packets_pay_for_probes():
+    for mid_flow in (False, True):
+        d = Drive(loads={"a": 0.1, "b": 0.1})
+        d.list("a", "b")
+        d.loud = False
+        for number in range(9):
+            d.session(f"s{number}", mid_flow=mid_flow, repeat=True)
+        d.probes = 0
+        d.until(2000.0)
+        yield f"mid-flow {mid_flow}: {d.probes} probes"
+
+
 SCENARIOS = {run.__name__: run for run in (
-    left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain, repeats, quick_failures, odd_sizes, few_figures,
+    packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain, repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
                                            told_late, asked_first, store_swamped, store_swamped_among_many,
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -784,9 +784,9 @@
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
 
     def on_session(self, now, sess):
-        # Clients that come again pay for nothing: in trouble each comes many times. Packets of open connections
-        # pay: they come as another proxy ends, and all that they bring is unknown to a proxy just started.
-        if not (sess.repeat or sess.returning):
+        # Clients that come again pay for nothing: in trouble each comes many times. Packets of open
+        # connections pay: a proxy that takes over from another knows little of what it is handed.
+        if sess.mid_flow or not (sess.repeat or sess.returning):
             self.probes.session(self.roster.servers)
         self.first.enter(now, sess)
 
