--- a/tests/drive.py
+++ b/tests/drive.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 
 from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
 from wheathill.policy import Balancer
@@ -179,6 +180,7 @@
     def __init__(self, names=("a", "b"), known=True, mode="pass", settings=None, **limits):
         self.lines = []
         self.peers = []
+        self.seen = Counter()       # lines of the log, by event
         self.servers = {name: listener() for name in names}
         self.discovery = listener()
         self.seq = 0
@@ -213,6 +215,7 @@
     def until_logged(self, event):
         for line in self.process.stdout:
             found = json.loads(line)
+            self.seen[found["event"]] += 1
             if found["event"] == event:
                 return found
         raise AssertionError(f"ended without a line {event}")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -141,6 +141,21 @@
         return rig.lines
 
 
+def silent_to_all():
+    with Rig(names=("a",)) as rig:
+        rig.watched("a")
+        held = [rig.up(f"k{number}", names=("a",)) for number in range(6)]
+        del rig.lines[:]
+        for client, _ in held[:4]:
+            client.say("anyone?")
+        for client, _ in held:
+            client.hear()
+            client.hear()
+        found = rig.reload()
+        rig.lines.append(f"faults: {rig.seen['fault']}, moves of all at once: {rig.seen['decision']}, up {found['up']}")
+        return rig.lines
+
+
 def moved_between_lines():
     with Rig() as rig:
         rig.watched("a", "b")
@@ -434,7 +449,7 @@
 
 SCENARIOS = {run.__name__: run for run in (
     serves_a_session, turned_away_twice, closed_before_the_next_dial, once_only, connection_refused,
-    ends_passed_on, client_leaves_early, silent_server, moved_between_lines, stop_where_packets_pass,
+    ends_passed_on, client_leaves_early, silent_server, silent_to_all, moved_between_lines, stop_where_packets_pass,
     stop_where_connections_end, drained_server, bad_input, id_of_another, more_before_up, says_nothing,
     follows_discovery, reloads, beliefs_and_sockets, standing_connection,
     no_descriptor_left, flood_on_a_small_proxy, probes)}
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -63,7 +63,8 @@
         were taken with. Servers stay known until the list at a new address has come whole."""
         old = self.node
         self.take(node)
-        self.log_event("reloaded", needs_restart=needs_restart(self.started_with, node.told), **self.beliefs())
+        changed = needs_restart(self.started_with, node.told)
+        self.log_event("reloaded", needs_restart=changed, **self.beliefs())
         if node.discovery != old.discovery:
             # Versions count at one address; asked for from the first, the new one tells the whole list.
             self.seen = 0
@@ -259,9 +260,9 @@
         self.clock.after(self.limits.sweep, self.sweep)
         now = self.now()
         for client in list(self.clients.values()):
-            # Who reads nothing itself can't be brought an answer.
-            if client.asked is not None and now - client.asked >= self.limits.unanswered \
-                    and not client.wire.full:
+            # Who reads nothing itself can't be brought an answer. One may end others of the same server.
+            if client.sess is not None and client.asked is not None and not client.wire.full \
+                    and now - client.asked >= self.limits.unanswered:
                 self.balancer.on_unanswered(now, client.sess, now - client.asked)
                 if client.moving and now - client.asked >= self.limits.half_line:
                     # Its server will hardly end the line any more, and MOVE may not stand within one.
