--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -483,9 +483,8 @@
     are hundreds of proxies: below one, the next set-up waits for longer and longer.
     """
 
-    def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, few, pause,
-                 cut_wait, hold):
-        self.few = few
+    def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
+                 hold):
         self.hold = hold
         self.actions = actions
         self.uniform = uniform
@@ -519,10 +518,7 @@
 
     def failed(self, now):
         if self.health.shared_trouble(now) and now >= self.cut_at + self.cut_wait:
-            # One session that no server can use fails at several, and a proxy just started has no others: its
-            # part of sixteen is left under way by the first cut.
-            under_way = max(1, self.few, len(self.under_way))
-            self.window = max(self.least_set_ups, min(self.window, under_way) / 2)
+            self.window = max(self.least_set_ups, min(self.window, max(1, len(self.under_way))) / 2)
             self.cut_at = now
             self.space(now)
             self.actions.log(f"store: at most {self.window:.2g} set-ups at once")
@@ -754,8 +750,7 @@
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
-                              least_set_ups=1 / 32, few=16 / proxies,
-                              pause=250.0, cut_wait=500.0, hold=self.EARLY)
+                              least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
