wheathill daemon FILE.toml: an operator's own file, checked whole, beside the platform's start

Need: no way to start the proxy but the platform's run, and no file of an operator's own.

Change: config.py is a package; the TOML file is validated with msgspec, field by field so that every fault is named (msgspec itself stops at the first), and turned into the platform's form, so that one reader gives checks and defaults to both. The wiring moved from __main__ to daemon. A proxy without discovery takes the file's list as whole.

--- a/wheathill/__main__.py
+++ b/wheathill/__main__.py
@@ -1,70 +1,17 @@
-"""One proxy: `python -m wheathill`, told what it needs by NODE_CONFIG."""
+"""`python -m wheathill`: the platform's start, told what it needs by NODE_CONFIG. With words after it, the
+command line; what that needs is imported only then."""
 
-import asyncio
 import os
-import resource
-import signal
 import sys
-from dataclasses import replace
-
-from wheathill.config import Misconfigured, read_node
-from wheathill.net.clock import Clock
-from wheathill.net.driver import Carrier
-from wheathill.net.log import Log
-from wheathill.net.proxy import Proxy
-
-
-async def serve(node, log):
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: log(
-        "fault", what=repr(context.get("exception") or context["message"]), where=str(context.get("handle"))))
-    clock = Clock(loop)
-    carrier = Carrier(loop, node.limits, log)
-    proxy = Proxy(node, carrier, clock, log)
-    stopped = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy, log)
-    loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
-    try:
-        carrier.listen(proxy.client, node.listen, proxy.room)
-    except OSError as wrong:
-        raise Misconfigured(f"listen: {wrong}") from None
-    log("listening", at=":".join(map(str, node.listen)))
-    proxy.start()
-    await stopped.wait()
-
-
-def reload(proxy, log):
-    """Read and checked whole first: with a faulty file the proxy goes on as it was."""
-    try:
-        proxy.reload(allow_sockets(read_node(os.environ)))
-    except Misconfigured as wrong:
-        log("bad configuration", what=str(wrong))
-
-
-def allow_sockets(node):
-    """As many descriptors as the proxy is told it may hold, where the system lets it."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    most = node.limits.sockets if hard == resource.RLIM_INFINITY else min(node.limits.sockets, hard)
-    if soft != resource.RLIM_INFINITY and soft < most:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
-    return replace(node, limits=replace(node.limits, sockets=most))
 
 
 def main():
-    # Until the proxy can read its configuration again, the order to do so must not end it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    try:
-        node = allow_sockets(read_node(os.environ))
-        log = Log(node.name, node.limits.log_lines)
-        try:
-            asyncio.run(serve(node, log))
-        finally:
-            log.close()
-    except Misconfigured as wrong:
-        print(wrong, file=sys.stderr)
-        return 2
-    return 0
+    if len(sys.argv) > 1:
+        from wheathill.cli import main as command
+        return command()
+    from wheathill.config import read_node
+    from wheathill.daemon import run
+    return run(lambda: read_node(os.environ))
 
 
 if __name__ == "__main__":
--- a/wheathill/config.py
+++ b/wheathill/config/__init__.py
@@ -1,6 +1,8 @@
 """The one place where configuration is read, checked and given defaults, for drill and proxy alike.
 
-Whatever is wrong is raised as `Misconfigured`, whose text names the key by its path.
+Whatever is wrong is raised as `Misconfigured`, whose text names the key by its path. Here stands what the
+platform tells a proxy; an operator's own file is turned into the same form by `operator`, so that both are
+checked and given defaults by the same lines. Nothing here may need more than the standard library.
 """
 
 import json
@@ -179,7 +181,7 @@
 
     name: str
     listen: tuple
-    discovery: tuple
+    discovery: tuple | None             # none: `known` is the whole list
     seed: str
     limits: Limits
     known: dict
@@ -220,9 +222,17 @@
         raise Misconfigured("NODE_CONFIG: is missing")
     try:
         with open(path, "rb") as source:
-            top = Reader(json.load(source))
+            found = json.load(source)
     except (OSError, ValueError) as wrong:
         raise Misconfigured(f"NODE_CONFIG: {path}: {wrong}") from None
+    return node_of(found, {key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery")})
+
+
+def node_of(values, instead=None):
+    """A node from the platform's object; `instead` stands in for keys that are absent. `discovery` may be
+    false: the list is then the one that is told."""
+    top = Reader(values)
+    instead = instead or {}
     settings = top.part("settings")
     allowed = top.part("limits")
     listeners = read_listeners(settings)
@@ -230,10 +240,10 @@
         raise Misconfigured("settings.listeners: names none")
     balancer = balancer_settings(settings)
     sockets = allowed.count("sockets", 1024, least=64)
-    where = {key: address(top.text(key, environ.get("NODE_" + key.upper())), key)
-             for key in ("listen", "discovery")}
+    where = {key: None if top.values.get(key) is False and key == "discovery" else
+             address(top.text(key, instead.get(key)), key) for key in ("listen", "discovery")}
     return Node(
-        name=top.text("name", environ.get("NODE_NAME")), **where, seed=top.text("seed"),
+        name=top.text("name", instead.get("name")), **where, seed=top.text("seed"),
         limits=Limits(sockets=sockets, **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
                       longest_dial=max(listener.dial_timeout for listener in listeners),
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -24,7 +24,7 @@
 
 
 class Proxy:
-    def __init__(self, node, carrier, clock, log):
+    def __init__(self, node, carrier, clock, log, decisions=Balancer):
         self.carrier = carrier
         self.take(node)
         self.started_with = node.told
@@ -45,7 +45,7 @@
         self.stopping = None
         self.counts = Counter()
         self.bad_since = self.bad_logged = 0
-        self.balancer = Balancer(self, random.Random(node.seed), **node.balancer)
+        self.balancer = decisions(self, random.Random(node.seed), **node.balancer)
 
     def take(self, node):
         self.node = node
@@ -65,17 +65,21 @@
         self.take(node)
         changed = needs_restart(self.started_with, node.told)
         self.log_event("reloaded", needs_restart=changed, **self.beliefs())
-        if node.discovery != old.discovery:
+        if node.discovery is None:
+            self.leave_watch()
+            self.listed(node.known, ListKind.FULL)
+        elif node.discovery != old.discovery:
             # Versions count at one address; asked for from the first, the new one tells the whole list.
             self.seen = 0
-            self.watch.leave()
+            self.leave_watch()
             self.open_watch()
 
     def start(self):
         self.balancer.on_start(self.now())
         if self.node.known:
-            self.listed(self.node.known, ListKind.CACHED)
-        self.open_watch()
+            self.listed(self.node.known, ListKind.CACHED if self.node.discovery else ListKind.FULL)
+        if self.node.discovery:
+            self.open_watch()
         self.clock.after(self.limits.list_wait, self.get_ready)
         self.clock.after(self.limits.sweep, self.sweep)
         self.clock.after(self.limits.figures, self.log_figures)
@@ -418,6 +422,12 @@
         self.watch = Watch(self.node.discovery[0], self.seen, self, self.limits, self.clock)
         self.watch.start(self.carrier.connect(self.watch, self.node.discovery))
 
+    def leave_watch(self):
+        if self.next_watch:
+            self.next_watch.cancel()
+        if self.watch:
+            self.watch.leave()
+
     def watch_over(self, why):
         if why != self.watch_why:
             self.log_event("watch over", why=why)
