--- /dev/null
+++ b/tests/test_worlds.py
@@ -0,0 +1,242 @@
+"""The seam: the virtual network tells a machine what sockets tell it, and one script runs in both worlds."""
+
+import random
+import tomllib
+
+import pytest
+
+from drive import kept
+from wheathill.config import Limits
+from wheathill.lab import script as scripts
+from wheathill.lab.peers import Faults, VirtualPeers
+from wheathill.lab.run import play
+from wheathill.lab.world import VirtualWorld, raise_fault
+from wheathill.net.machine import Machine
+
+LIMITS = Limits(sockets=100, connect=100.0, longest_dial=1000.0, idle=1000.0)
+STILL = {"same": 1.0, "cross": 4.0, "client": 1.0, "jitter": 0.0, "hop": 0.0}
+
+
+class Writes(Machine):
+    """Writes down what its wire tells it."""
+
+    def __init__(self, name, lines, clock):
+        super().__init__(None, LIMITS, clock)
+        self.name, self.story = name, lines
+        self.got = 0
+
+    def say(self, text):
+        self.story.append(f"{self.clock.now():7.1f} {self.name} {text}")
+
+    def connected(self):
+        self.say("connected")
+
+    def received(self, data):
+        self.got += len(data)
+        self.say(f"received {bytes(data)!r}" if len(data) < 40 else f"received {len(data)} bytes")
+
+    def ended(self):
+        self.say("ended")
+
+    def blocked(self, on):
+        self.say(f"blocked {on}")
+
+    def lost(self, reset):
+        self.say(f"lost, reset {reset}")
+
+
+class Pair:
+    """Two hosts and a connection between them."""
+
+    def __init__(self, accept=True):
+        self.lines = []
+        self.world = VirtualWorld(1, STILL)
+        self.clock = self.world.clock
+        self.one, self.other = (self.world.host(name, "east", LIMITS) for name in ("one", "other"))
+        self.taken = []
+        if accept:
+            self.listen()
+        self.near = Writes("near", self.lines, self.clock)
+        self.near.wire = self.one.carrier.connect(self.near, self.other.where)
+
+    def listen(self):
+        self.other.carrier.listen(self.take, self.other.where, lambda: True)
+
+    def take(self, wire):
+        far = Writes("far", self.lines, self.clock)
+        far.wire = wire
+        self.taken.append(far)
+        return far
+
+    def run(self, ms):
+        self.clock.run(self.clock.now() + ms)
+        return self
+
+    @property
+    def far(self):
+        return self.taken[-1]
+
+
+def both_ends():
+    pair = Pair().run(10)
+    pair.near.wire.send(b"hello", b" there")
+    pair.run(5)
+    pair.near.wire.finish()
+    pair.run(5)
+    pair.far.wire.send(b"after your end")
+    pair.far.wire.finish()
+    pair.run(5)
+    return pair.lines
+
+
+def held_reader_blocks_its_writer():
+    pair = Pair().run(10)
+    pair.far.wire.hold(True)
+    for _ in range(5):
+        pair.near.wire.send(b"x" * 100_000)
+    pair.run(20)
+    pair.lines.append(f"drained {pair.near.wire.drained}, read {pair.far.got}")
+    pair.far.wire.hold(False)
+    pair.run(20)
+    pair.lines.append(f"drained {pair.near.wire.drained}, read {pair.far.got}")
+    return pair.lines
+
+
+def nobody_listens():
+    return Pair(accept=False).run(10).lines
+
+
+def process_dies():
+    pair = Pair().run(10)
+    pair.other.kill()
+    pair.run(5)
+    again = Writes("again", pair.lines, pair.clock)
+    again.wire = pair.one.carrier.connect(again, pair.other.where)
+    pair.run(5)
+    return pair.lines
+
+
+def machine_vanishes_and_is_back_anew():
+    pair = Pair().run(10)
+    pair.other.vanish()
+    pair.near.wire.send(b"anyone?")
+    late = Writes("late", pair.lines, pair.clock)
+    late.wire = pair.one.carrier.connect(late, pair.other.where)
+    pair.run(500)
+    pair.lines.append("-- back, and old connections look open")
+    pair.other.come_back(True)
+    pair.listen()
+    pair.run(10)
+    return pair.lines
+
+
+def paused_process_still_accepts():
+    pair = Pair().run(10)
+    pair.other.pause()
+    pair.near.wire.send(b"one")
+    pair.run(50)
+    pair.near.wire.send(b"two")
+    pair.run(50)
+    pair.lines.append("-- it goes on")
+    pair.other.resume()
+    pair.run(5)
+    return pair.lines
+
+
+def one_way_cut():
+    pair = Pair().run(10)
+    pair.world.cut("other", "one", False)
+    pair.near.wire.send(b"there")
+    pair.run(5)
+    pair.far.wire.send(b"and back")
+    pair.run(50)
+    pair.lines.append("-- mended")
+    pair.world.mend("other", "one")
+    pair.run(5)
+    return pair.lines
+
+
+def parted_with_bytes_on_the_way():
+    pair = Pair().run(10)
+    pair.far.wire.send(b"the last answer")
+    pair.far.wire.part()
+    pair.near.wire.send(b"still talking")
+    pair.run(5)
+    pair.near.wire.finish()
+    pair.run(2000)
+    pair.lines.append(f"sockets {pair.one.carrier.sockets} and {pair.other.carrier.sockets}")
+    return pair.lines
+
+
+def datagrams():
+    world = VirtualWorld(1, STILL)
+    faults = Faults(random.Random("seed"), 1.0, 0.5, loss=0.2, doubled=0.2, overtaken=0.3)
+    peers = VirtualPeers(world.clock, faults)
+    lines = []
+    hosts = [world.host(name, "east", LIMITS) for name in "ab"]
+    ends = [peers.endpoint(host, lambda data, came, name=host.name: lines.append(
+        f"{world.clock.now():6.2f} {name} has {data.decode()} of {came}")) for host in hosts]
+    for number in range(8):
+        ends[0].send("b", b"%d" % number)
+    world.clock.run(20)
+    faults.cut("b", "a", both=False)
+    ends[0].send("b", b"one way")
+    ends[1].send("a", b"the other")
+    world.clock.run(40)
+    lines.append(f"{faults.lost} of {faults.sent} lost")
+    return lines
+
+
+SCENARIOS = {run.__name__: run for run in (
+    both_ends, held_reader_blocks_its_writer, nobody_listens, process_dies, machine_vanishes_and_is_back_anew,
+    paused_process_still_accepts, one_way_cut, parted_with_bytes_on_the_way, datagrams)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_story(name):
+    assert kept(name, SCENARIOS[name]())
+
+
+def test_a_fault_of_a_stand_in_ends_the_run():
+    pair = Pair().run(10)
+    pair.far.received = None
+    pair.near.wire.send(b"x")
+    with pytest.raises(AssertionError):
+        pair.run(5)
+    with pytest.raises(AssertionError):
+        raise_fault("fault")
+
+
+def test_sockets_world():
+    """One script with a bit of everything, on real sockets and processes, within the rules."""
+    text = open("tests/scripts/mutants.toml").read().replace("seconds = 14", "seconds = 9") + """
+[[event]]
+at_s = 2
+do = "silent"
+on = "g1"
+for_s = 0.5
+
+[[event]]
+when = "between OPEN and UP of the next session at g2"
+do = "proxy-kill"
+
+[[event]]
+at_s = 6
+do = "proxy-roll"
+on = "n2"
+
+[[event]]
+at_s = 1.5
+do = "partition"
+on = "g2"
+with = "n1"
+one_way = true
+for_s = 1
+"""
+    text = text.replace("at_s = 3\ndo = \"drain\"\non = \"g1\"", "at_s = 4\ndo = \"drain\"\non = \"g2\"")
+    result = play(scripts.script_of(tomllib.loads(text)), world="sockets")
+    counts = result.figures["counts"]
+    assert [str(breach) for breach in result.breaches] == []
+    assert counts["answer UP"] > 50
+    done = {fields["do"] for _, kind, fields in result.scene.record.events if kind == "event"}
+    assert {"silent", "proxy-kill", "proxy-roll", "partition", "drain", "cut", "kill"} <= done
--- a/wheathill/lab/front.py
+++ b/wheathill/lab/front.py
@@ -67,7 +67,7 @@
         self.name = name
 
     def start(self, host, address):
-        self.wire = host.carrier.connect(self, address)
+        host.dial(self, address)
         self.set_timer(500.0, self.over, False)
 
     def connected(self):
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -295,6 +295,9 @@
     def on_syntax(self, now, server):
         self.breach(now, "a line that no client sent", server=server)
 
+    def on_over_memory(self, now, proxy, mb):
+        self.breach(now, f"{proxy} holds {mb} MB, more than it may")
+
     def on_crashed(self, now, proxy, code):
         self.breach(now, f"{proxy} ended by itself with {code}")
 
--- a/wheathill/lab/script.py
+++ b/wheathill/lab/script.py
@@ -13,7 +13,7 @@
 
 ON_GATEWAY = ("silent", "pause", "kill", "back", "erring", "slow", "drain", "list-lies")
 ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload")
-ON_ALL = ("store-slower", "herd", "list-unreachable", "list-torn", "list-restarted", "costly", "partition", "cut")
+ON_ALL = ("store-slower", "herd", "list-unreachable", "list-torn", "list-restarted", "list-moved", "costly", "partition", "cut")
 NEEDS_FACTOR = ("slow", "store-slower", "costly")
 
 
@@ -28,6 +28,7 @@
     cross_ms: Wait = 4.0
     client_ms: Wait = 0.7
     jitter: Price = 0.2
+    hop_ms: Wait = 0.2      # virtual only: what a delivery costs beside the way, as measured on loopback
 
 
 class Gateways(Table):
