Membership among instances: SWIM with suspicion and local health, played in the virtual world

Change: peers/membership is SWIM without I/O: indirect probes, incarnations, suspicion that shortens as others confirm, Lifeguard's local health, joins through seeds, leaving, rejoining under the same name, a name that two claim. lab/members runs it on simulated datagrams with loss, copies, overtaking and cuts.

--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,154 @@
+"""Membership in the virtual world: who is found gone, who is not accused wrongly, and how names are held."""
+
+import pytest
+
+from drive import kept
+from wheathill.lab.members import Cluster, measure
+from wheathill.peers.membership import ALIVE, Member, Membership, Rumours
+
+
+def states(cluster, name, of=None):
+    return f"{name} is " + ", ".join(sorted({view.get(name, "unknown") for view in cluster.views().values()}
+                                           if of is None else {cluster.views()[of].get(name, "unknown")}))
+
+
+def one_dies_and_is_back():
+    cluster = Cluster(6)
+    cluster.run(10)
+    yield f"agreed {cluster.agreed()}"
+    cluster.kill("i003")
+    cluster.run(20)
+    yield f"after 20 s {states(cluster, 'i003')}, agreed {cluster.agreed()}"
+    cluster.start("i003")
+    cluster.run(10)
+    member = cluster.instances["i001"].membership.members["i003"]
+    yield f"back: {states(cluster, 'i003')}, incarnation {member.incarnation}, agreed {cluster.agreed()}"
+    yield f"false deaths {len(cluster.false)}"
+
+
+def starved_instance_accuses_nobody():
+    """Paused again and again for a little longer than the others wait for an answer."""
+    cluster = Cluster(12, faults={"loss": 0.02})
+    cluster.run(15)
+    for _ in range(12):
+        cluster.hosts["i005"].pause()
+        cluster.run(1.4)
+        cluster.hosts["i005"].resume()
+        cluster.run(0.2)
+    yield f"false deaths {len(cluster.false)}"
+    cluster.run(15)
+    yield f"after 15 s agreed {cluster.agreed()}"
+
+
+def one_way_cut():
+    """One hears all and is heard by nobody: the others bury it, and it comes back by itself."""
+    cluster = Cluster(6)
+    cluster.run(10)
+    others = [name for name in cluster.hosts if name != "i002"]
+    cluster.faults.cut(["i002"], others, both=False)
+    cluster.run(25)
+    yield states(cluster, "i002", of="i004")
+    yield f"its own view: {states(cluster, 'i004', of='i002')}"
+    yield f"it takes itself for slow: {cluster.instances['i002'].membership.health > 0}"
+    cluster.faults.mend()
+    cluster.run(30)
+    yield f"mended: {states(cluster, 'i002')}, agreed {cluster.agreed()}"
+
+
+def two_halves():
+    cluster = Cluster(8)
+    cluster.run(10)
+    names = list(cluster.hosts)
+    cluster.faults.cut(names[:4], names[4:])
+    cluster.run(45)
+    yield f"{states(cluster, 'i006', of='i001')} to the one half, {states(cluster, 'i001', of='i006')} to the other"
+    cluster.faults.mend()
+    cluster.run(40)
+    yield f"mended, agreed {cluster.agreed()}"
+
+
+def leaves():
+    cluster = Cluster(5)
+    cluster.run(10)
+    cluster.instances["i004"].membership.leave(cluster.clock.now())
+    cluster.dead["i004"] = cluster.clock.now()
+    cluster.run(8)
+    yield states(cluster, "i004")
+    cluster.run(80)
+    yield f"and is forgotten: {states(cluster, 'i004')}"
+
+
+def two_claim_one_name():
+    cluster = Cluster(5, claims={"i004": "i002"})
+    cluster.run(12)
+    claimant = cluster.instances["i004"].membership
+    yield f"claimant stopped {claimant.stopped}"
+    yield f"the name is at {cluster.instances['i001'].membership.members['i002'].address}"
+    yield from cluster.lines[-1:]
+    # Who held it dies, and the claimant tries again.
+    cluster.kill("i002")
+    cluster.run(25)
+    cluster.start("i004")
+    cluster.run(15)
+    yield f"then the name is at {cluster.instances['i001'].membership.members['i002'].address}"
+
+
+def doubled_overtaken_and_a_minute_late():
+    cluster = Cluster(6, faults={"doubled": 0.5, "overtaken": 0.5})
+    stale = []
+    end = cluster.peers.endpoints["i001"]
+    received = end.received
+    end.received = lambda data, came: (stale.append((data, came)), received(data, came))
+    cluster.run(10)
+    cluster.kill("i003")
+    cluster.run(20)
+    cluster.start("i003")
+    cluster.run(40)
+    # All that it was ever told comes once more.
+    for data, came in list(stale):
+        received(data, came)
+    cluster.run(10)
+    yield f"told {len(stale) > 100}, agreed {cluster.agreed()}, false deaths {len(cluster.false)}"
+
+
+SCENARIOS = {run.__name__: lambda run=run: list(run()) for run in (
+    one_dies_and_is_back, starved_instance_accuses_nobody, one_way_cut, two_halves, leaves, two_claim_one_name,
+    doubled_overtaken_and_a_minute_late)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_story(name):
+    assert kept(name, SCENARIOS[name]())
+
+
+def test_same_seed_same_views():
+    def digest(seed):
+        cluster = Cluster(10, seed, faults={"loss": 0.2})
+        cluster.run(20)
+        return cluster.digest(), [instance.sent for instance in cluster.instances.values()]
+    assert digest(3) == digest(3) != digest(4)
+
+
+def test_nobody_is_buried_alive_at_five_percent_loss():
+    found = measure(12, 0.05, [1, 2], watched=20.0)
+    assert found["false_deaths"] == 0 and found["all_ms"] < 15_000
+
+
+def test_words_of_no_protocol_are_refused():
+    class Actions:
+        def __getattr__(self, _name):
+            return lambda *args: None
+
+    import random
+    membership = Membership(Actions(), random.Random(1), "a", "a:1", 1, period=1000.0, patience=300.0, helpers=3,
+                            kept=1000.0, sync_every=1000.0)
+    for words in (["what"], ["ping", 1], ["ping", 1, "b", [["asleep", "b", "b:1", 0, 1, ""]]], []):
+        with pytest.raises(ValueError):
+            membership.on_message(0.0, "b:1", words)
+
+
+def test_rumours_end():
+    rumours = Rumours(times=2.0)
+    member = Member("a", "a:1", 0, 1, ALIVE, 0.0)
+    rumours.add(member, "a")
+    assert sum(bool(rumours.take(8, 9)) for _ in range(10)) == 2
--- a/wheathill/lab/report.py
+++ b/wheathill/lab/report.py
@@ -85,7 +85,7 @@
     axes.set_title(title, loc="left", fontsize=11)
     for side in ("top", "right"):
         axes.spines[side].set_visible(False)
-    if axes.get_legend_handles_labels()[0]:
+    if 0 < len(axes.get_legend_handles_labels()[0]) <= 16:
         axes.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.0, 0.5), frameon=False)
     out = io.StringIO()
     figure.savefig(out, format="svg", bbox_inches="tight")
@@ -103,6 +103,9 @@
         target = min(item.handshake_target_ms for item in listeners)
         axes.axhline(target, color=COLOURS["ERR"], linewidth=0.6, label="target")
     axes.set_yscale("log")
+    for formatter in (axes.yaxis.set_major_formatter, axes.yaxis.set_minor_formatter):
+        formatter("{x:.3g}")
+    axes.tick_params(axis="y", which="minor", labelsize=6)
 
 
 def exact(samples, share):
