--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -40,7 +40,7 @@
     yield f"after 15 s agreed {cluster.agreed()}"
 
 
-def one_way_cut():
+def heard_by_nobody():
     """One hears all and is heard by nobody: the others bury it, and it comes back by itself."""
     cluster = Cluster(6)
     cluster.run(10)
@@ -112,7 +112,7 @@
 
 
 SCENARIOS = {run.__name__: lambda run=run: list(run()) for run in (
-    one_dies_and_is_back, starved_instance_accuses_nobody, one_way_cut, two_halves, leaves, two_claim_one_name,
+    one_dies_and_is_back, starved_instance_accuses_nobody, heard_by_nobody, two_halves, leaves, two_claim_one_name,
     doubled_overtaken_and_a_minute_late)}
 
 
