--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -73,7 +73,7 @@
 @lab.command()
 @click.argument("script", type=click.Path())
 @click.option("--seeds", default="1..5", show_default=True, help="A..B")
-@click.option("--set", "changes", multiple=True, help="KEY=V1,V2: play it with each; may stand more than once")
+@click.option("--set", "changes", multiple=True, help="KEY=V1,V2: play it with each; may be repeated")
 @click.option("--policies", default="module", show_default=True, help="with commas between")
 @click.option("--world", type=click.Choice(["virtual", "sockets"]), default="virtual", show_default=True)
 @click.option("--jobs", type=int, default=4, show_default=True)
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -225,7 +225,8 @@
             found = json.load(source)
     except (OSError, ValueError) as wrong:
         raise Misconfigured(f"NODE_CONFIG: {path}: {wrong}") from None
-    return node_of(found, {key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery")})
+    return node_of(found, {key: environ.get("NODE_" + key.upper())
+                           for key in ("name", "listen", "discovery")})
 
 
 def node_of(values, instead=None):
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -11,7 +11,8 @@
 
 from wheathill.config import Misconfigured, address, checked, node_of
 
-Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[!-~]+$", description="printable, no blanks")]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[!-~]+$",
+                           description="printable, no blanks")]
 Address = Annotated[str, Meta(pattern=r"^.+:[0-9]{1,5}$", description="HOST:PORT, a numeric address")]
 Ms = Annotated[float, Meta(gt=0, le=3_600_000)]
 Wait = Annotated[float, Meta(ge=0, le=3_600_000)]
@@ -119,7 +120,8 @@
         if item.repeat == "referenced" and not item.window_s:
             yield f"listener[{place}].window_s: a referenced listener needs its servers' dedup window"
     for where, text in (("listen", file.listen), ("discovery", file.discovery),
-                        *((f"server[{place}].address", item.address) for place, item in enumerate(file.server))):
+                        *((f"server[{place}].address", item.address)
+                          for place, item in enumerate(file.server))):
         if text is not None:
             try:
                 address(text, where)
@@ -146,11 +148,11 @@
             "tenants": [{"name": name} for name in file.desk], "dcs": file.zone,
             "zone": file.zone.index(file.own_zone) if file.own_zone else 0, "balancers": fleet.proxies,
             "weightSource": "nominal" if fleet.weights == "registered" else "off",
-            "limits": {"maxDials": limits.dials, "mayProbe": fleet.probes, "retryAfter": limits.longest_wait_ms > 0,
-                       "maxRetryAfterS": limits.longest_wait_ms / 1000,
+            "limits": {"maxDials": limits.dials, "mayProbe": fleet.probes,
+                       "retryAfter": limits.longest_wait_ms > 0, "maxRetryAfterS": limits.longest_wait_ms / 1000,
                        "connectTimeoutS": limits.connect_ms / 1000, "idleCloseS": limits.idle_s},
-            "obligations": {"drainGraceS": fleet.drain_grace_ms / 1000, "startCapacity": fleet.cold_start_share,
-                            "coldS": fleet.cold_s, "tipMultiple": fleet.cold_multiple,
+            "obligations": {"drainGraceS": fleet.drain_grace_ms / 1000,
+                            "startCapacity": fleet.cold_start_share, "coldS": fleet.cold_s, "tipMultiple": fleet.cold_multiple,
                             "tipAfterS": fleet.cold_window_ms / 1000},
             "prices": {"crossZone": file.prices.crossing, "moves": file.prices.move},
             "report": {"how": "on_probe" if fleet.probes else "off", "names": fleet.report_fields},
--- a/wheathill/lab/baselines.py
+++ b/wheathill/lab/baselines.py
@@ -84,7 +84,8 @@
     """Lowest true load, of those that run; a gateway's set-ups under way count as if they were up."""
     def load(server):
         gateway = gateways[server.name]
-        well = gateway.host.alive and not gateway.host.silent and not gateway.host.paused and not gateway.erring
+        host = gateway.host
+        well = host.alive and not host.silent and not host.paused and not gateway.erring
         coming = (gateway.busy + len(gateway.waiting)) / gateway.holds
         return not well, gateway.load + coming / gateway.readiness(), rng.random()
     return min(able, key=load)
--- a/wheathill/lab/clients.py
+++ b/wheathill/lab/clients.py
@@ -5,7 +5,8 @@
 
 
 class Crowd:
-    """Clients of one kind: same listener, desk and habits. Times in ms; `life`, `rest` and `think` are means."""
+    """Clients of one kind: same listener, desk and habits. Times in ms; `life`, `rest` and `think` are
+    means."""
 
     def __init__(self, host, limits, chance, record, front, listener, *, name, zone, desk, groups, life, rest,
                  think, gives_up, retry, wait, honours, tries, silence, returns, leaves, mid_flow):
@@ -138,8 +139,8 @@
             if value:
                 values.append(f"{key}={value}")
         self.opened = self.clock.now()
-        self.record.note("open", sess=self.name, proxy=self.proxy, listener=crowd.listener.name, crowd=crowd.name,
-                         desk=crowd.desk, deadline=crowd.listener.dial_timeout_ms, mid=self.mid,
+        self.record.note("open", sess=self.name, proxy=self.proxy, listener=crowd.listener.name,
+                         crowd=crowd.name, desk=crowd.desk, deadline=crowd.listener.dial_timeout_ms, mid=self.mid,
                          effect=f"{self.person.name}/{self.person.intention}")
         self.wire.send(b"OPEN ", self.name.encode(), b" ", self.person.name.encode(), b" ",
                        ",".join(values).encode(), END)
--- a/wheathill/lab/copies.py
+++ b/wheathill/lab/copies.py
@@ -1,7 +1,8 @@
 """Copies of the store in the virtual world, under random faults: they must come to the same digest.
 
-Each instance has a disk: what its replica wrote, of which a start anew finds what was synced. It may be killed, paused,
-cut off in one direction or both, started from an old copy of its disk, or kept away longer than tombstones live.
+Each instance has a disk: what its replica wrote, of which a start anew finds what was synced. It may be
+killed, paused, cut off in one direction or both, started from an old copy of its disk, or kept away longer
+than tombstones live.
 """
 
 import random
--- a/wheathill/lab/record.py
+++ b/wheathill/lab/record.py
@@ -1,4 +1,5 @@
-"""What the lab has seen: events in order, latencies, and figures over time. The judges and the report read it."""
+"""What the lab has seen: events in order, latencies, and figures over time. The judges and the report read
+it."""
 
 import hashlib
 from collections import Counter
--- a/wheathill/lab/tap.py
+++ b/wheathill/lab/tap.py
@@ -1,8 +1,8 @@
 """Stands between a stand-in and its wire, and does to single connections what networks and sick programs do:
 bytes held, cut in half, delayed, reset or left half-open, at a named point of a handshake.
 
-To the wire it is the machine, to the machine it is the wire, so the same one serves both worlds. A point is the
-first word of what passes: OPEN and UP are the two halves of a handshake.
+To the wire it is the machine, to the machine it is the wire, so the same one serves both worlds. A point is
+the first word of what passes: OPEN and UP are the two halves of a handshake.
 """
 
 
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -1,11 +1,12 @@
 """Who is there: SWIM with suspicion and Lifeguard's local health, without I/O.
 
-After "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol" (Das, Gupta, Motivala,
-2002) and "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (Dadgar, Phillips, Currey, 2018).
+After "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol" (Das, Gupta,
+Motivala, 2002) and "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (Dadgar, Phillips,
+Currey, 2018).
 
-Fed with (now in ms, who sent it, the words of a message), it calls `actions`: `send(address, words)`, `alarm(at,
-what)`, `changed(member, old state)` and `log(text)`. Words are lists of numbers and text, ready for msgpack. What
-an instance says of members rides on its probes; nothing is broadcast.
+Fed with (now in ms, who sent it, the words of a message), it calls `actions`: `send(address, words)`,
+`alarm(at, what)`, `changed(member, old state)` and `log(text)`. Words are lists of numbers and text, ready
+for msgpack. What an instance says of members rides on its probes; nothing is broadcast.
 """
 
 import math
@@ -16,7 +17,8 @@
 
 
 class Member:
-    """`birth` tells one process from another under the same name; `incarnation` orders what is said of one."""
+    """`birth` tells one process from another under the same name; `incarnation` orders what is said of
+    one."""
 
     __slots__ = ("name", "address", "incarnation", "birth", "state", "since", "accusers", "deadline")
 
@@ -68,7 +70,8 @@
 
     def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every):
         self.actions = actions
-        self.shuffle, self.sample, self.uniform, self.choice = rng.shuffle, rng.sample, rng.uniform, rng.choice
+        self.shuffle, self.sample = rng.shuffle, rng.sample
+        self.uniform, self.choice = rng.uniform, rng.choice
         self.period, self.patience, self.helpers, self.kept = period, patience, helpers, kept
         self.sync_every = sync_every
         self.me = Member(name, address, 0, birth, ALIVE, 0.0)
@@ -152,7 +155,8 @@
         self.actions.alarm(now + self.patience * (1 + self.health), "late")
 
     def next_target(self):
-        """Each in turn, in an order drawn anew each round: found dead within two rounds, and by chance sooner."""
+        """Each in turn, in an order drawn anew each round: found dead within two rounds, and by chance
+        sooner."""
         while True:
             if not self.round:
                 self.round = [member for member in self.alive() if member is not self.me]
@@ -180,7 +184,8 @@
         chosen = self.sample(others, min(len(others), self.helpers))
         self.probe[3] = len(chosen)
         for member in chosen:
-            self.actions.send(member.address, [ASK, number, self.me.name, target.name, target.address, self.gossip()])
+            self.actions.send(member.address, [ASK, number, self.me.name, target.name, target.address,
+                                               self.gossip()])
 
     def end_probe(self, now):
         if self.probe is None:
@@ -386,8 +391,8 @@
             self.rumours.add(member, by)
 
     def set_deadline(self, now, member):
-        """From the slowest down to the fastest as others confirm. Alone among a few there is nobody to confirm:
-        the fastest at once."""
+        """From the slowest down to the fastest as others confirm. Alone among a few there is nobody to
+        confirm: the fastest at once."""
         count = len([each for each in self.members.values() if each.state in (ALIVE, SUSPECT)])
         fastest = self.SUSPICION * max(1.0, math.log10(max(1, count))) * self.period
         most = min(self.CONFIRMATIONS, count - 2)
--- a/wheathill/store/cells.py
+++ b/wheathill/store/cells.py
@@ -1,9 +1,9 @@
 """What the store is made of: cells that merge the same in whatever order they meet.
 
-A cell belongs to one (kind, key, part). Each change of it carries a dot, (replica, number): which change of which
-replica it is. Merging is commutative, associative and idempotent for every kind (a join of a semilattice, after
-Shapiro, Preguiça, Baquero, Zawirski, "Conflict-free Replicated Data Types", 2011), so copies, late ones and old
-ones do no harm. Cells are never changed in place.
+A cell belongs to one (kind, key, part). Each change of it carries a dot, (replica, number): which change of
+which replica it is. Merging is commutative, associative and idempotent for every kind (a join of a
+semilattice, after Shapiro, Preguiça, Baquero, Zawirski, "Conflict-free Replicated Data Types", 2011), so
+copies, late ones and old ones do no harm. Cells are never changed in place.
 """
 
 REGISTER, COUNTER, SET, LEASE = "register", "counter", "set", "lease"
@@ -11,9 +11,10 @@
 
 
 class Value:
-    """A register, a lease or one instance's part of a counter: the later write wins, by (time, replica), where
-    time is Lamport's and counts writes. `value` None is a tombstone. `over`: replica -> the last number of what it
-    has won over; whoever drops it must have seen these too, or one of them might come late and be taken in."""
+    """A register, a lease or one instance's part of a counter: the later write wins, by (time, replica),
+    where time is Lamport's and counts writes. `value` None is a tombstone. `over`: replica -> the last number
+    of what it has won over; whoever drops it must have seen these too, or one of them might come late and be
+    taken in."""
 
     __slots__ = ("time", "replica", "number", "value", "over")
 
@@ -53,9 +54,9 @@
 
 
 class Element:
-    """One element of a set: it is in while some add was not seen by any removal, so that of an add and a removal
-    at the same time the add wins. `adds`, `removals`: replica -> the last number of its adds, and up to which
-    those were seen by a removal; `changes`: replica -> number of its last change."""
+    """One element of a set: it is in while some add was not seen by any removal, so that of an add and a
+    removal at the same time the add wins. `adds`, `removals`: replica -> the last number of its adds, and up
+    to which those were seen by a removal; `changes`: replica -> number of its last change."""
 
     __slots__ = ("time", "adds", "removals", "changes")
 
@@ -81,8 +82,8 @@
     all_dots = dots
 
     def merge(self, other):
-        return Element(max(self.time, other.time), most(self.adds, other.adds), most(self.removals, other.removals),
-                       most(self.changes, other.changes))
+        return Element(max(self.time, other.time), most(self.adds, other.adds),
+                       most(self.removals, other.removals), most(self.changes, other.changes))
 
     def words(self):
         return [self.time, *(dict(sorted(each.items())) for each in (self.adds, self.removals, self.changes))]
--- a/wheathill/store/replica.py
+++ b/wheathill/store/replica.py
@@ -1,20 +1,20 @@
 """One instance's copy of the store, without I/O: writes at once, and meets the others' copies by and by.
 
-Reconciliation is by version vectors (Parker et al. 1983): `seen` tells, replica by replica, up to which number its
-changes are in this copy. Whoever asks sends its own vector and is sent the cells that hold a later dot. Each start of
-an instance is a replica of its own, named by chance, so that a directory brought back from an old copy can't give a
-dot out twice.
-
-A cell that is absent here while its dots are seen was deleted here: it is not taken in again, however late or from
-whoever it comes. Tombstones are dropped once every member that counts has seen them; a member that has not (it was
-away) is sent the whole, and drops what it holds of what the sender has seen and no longer has. What it has written
-meanwhile, or learnt from others that were away, it writes anew: later than anything that a dropped tombstone may have
-won over. Until it has the whole nothing is taken from it (`behind`).
-
-Bounds: `most_cells` and `most_bytes` of all that is alive; over them the oldest cells of the kind with the lowest worth
-go, as deletes, and `evicted` counts them. Tombstones are not counted: they go by themselves once all have seen them,
-and a member that is gone for long does not count. Forced out sooner, two copies that have each dropped what the
-other has not seen would wait for one another for good.
+Reconciliation is by version vectors (Parker et al. 1983): `seen` tells, replica by replica, up to which
+number its changes are in this copy. Whoever asks sends its own vector and is sent the cells that hold a later
+dot. Each start of an instance is a replica of its own, named by chance, so that a directory brought back from
+an old copy can't give a dot out twice.
+
+A cell that is absent here while its dots are seen was deleted here: it is not taken in again, however late or
+from whoever it comes. Tombstones are dropped once every member that counts has seen them; a member that has
+not (it was away) is sent the whole, and drops what it holds of what the sender has seen and no longer has.
+What it has written meanwhile, or learnt from others that were away, it writes anew: later than anything that
+a dropped tombstone may have won over. Until it has the whole nothing is taken from it (`behind`).
+
+Bounds: `most_cells` and `most_bytes` of all that is alive; over them the oldest cells of the kind with the
+lowest worth go, as deletes, and `evicted` counts them. Tombstones are not counted: they go by themselves once
+all have seen them, and a member that is gone for long does not count. Forced out sooner, two copies that have
+each dropped what the other has not seen would wait for one another for good.
 """
 
 import hashlib
@@ -28,8 +28,8 @@
 
 
 class Replica:
-    """`name` is the instance's, `birth` text that no other start has. `write(key, cell)` is told of every change
-    that is to be made durable. Times are this instance's own monotonic ms, and never leave it."""
+    """`name` is the instance's, `birth` text that no other start has. `write(key, cell)` is told of every
+    change that is to be made durable. Times are this instance's own monotonic ms, and never leave it."""
 
     def __init__(self, name, birth, write, *, most_cells, most_bytes, worth=(REGISTER, LEASE, SET, COUNTER)):
         self.name = name
@@ -46,7 +46,7 @@
         self.collected = {}                 # dots of the tombstones that were dropped, as a vector
         self.floor = 0                      # the latest time of these
         self.others = {}                    # member -> its vector as last told
-        self.since = {}                     # (kind, key, part) of leases -> when this cell was first seen here
+        self.since = {}                     # (kind, key, part) of leases -> when first seen here
         self.tombs = {}                     # keys of tombstones, oldest first -> None
         self.evicted = 0
         self.fresh = {}                     # keys changed here, not yet pushed -> None
@@ -136,8 +136,8 @@
         return True
 
     def holds(self, key, now):
-        """Counted from before it was written, by this process's own clock: one that slept for longer wakes without
-        it, and a start anew holds nothing."""
+        """Counted from before it was written, by this process's own clock: one that slept for longer wakes
+        without it, and a start anew holds nothing."""
         cell = self.cells.get((LEASE, key, ""))
         return cell is not None and cell.alive and cell.value[0] == self.id and \
             now < self.since[LEASE, key, ""] + cell.value[2] * (1 - LEASE_MARGIN)
@@ -191,7 +191,8 @@
                 if kind == SET:
                     old = self.cells[key]
                     time, replica, number = self.dot()
-                    gone = Element(time, old.adds, most(old.removals, old.adds), {**old.changes, replica: number})
+                    gone = Element(time, old.adds, most(old.removals, old.adds),
+                                   {**old.changes, replica: number})
                 else:
                     gone = Value(*self.dot(), None, self.over(key))
                 self.store(key, gone)
@@ -203,8 +204,8 @@
     # Meeting others
 
     def take_fresh(self):
-        """What was changed here since the last call: (first, last, cells), the numbers that they stand for; (0, 0,
-        cells) where one is gone already, as then they stand for no whole range."""
+        """What was changed here since the last call: (first, last, cells), the numbers that they stand for;
+        (0, 0, cells) where one is gone already, as then they stand for no whole range."""
         fresh, gap = self.fresh, self.gap
         self.fresh, self.gap = {}, False
         first, last = self.told + 1, self.seen.get(self.id, 0)
@@ -243,8 +244,8 @@
         return cell if len(adds) == len(cell.adds) else Element(cell.time, adds, cell.removals, cell.changes)
 
     def pushed(self, replica, first, last, words, now):
-        """Changes `first` to `last` of one replica, pushed as they were made: with none missing before them they
-        count as seen, else the next reconciliation brings the rest."""
+        """Changes `first` to `last` of one replica, pushed as they were made: with none missing before them
+        they count as seen, else the next reconciliation brings the rest."""
         changed = self.merge(words, now)
         if first and self.seen.get(replica, 0) >= first - 1:
             self.seen[replica] = max(self.seen.get(replica, 0), last)
@@ -337,8 +338,9 @@
     # The whole
 
     def digest(self):
-        """Of all that is alive: equal at two copies exactly if they hold the same. What a removal leaves behind in
-        an element that is in again is no part of it: one copy may have let go of it, another not yet."""
+        """Of all that is alive: equal at two copies exactly if they hold the same. What a removal leaves
+        behind in an element that is in again is no part of it: one copy may have let go of it, another not
+        yet."""
         found = hashlib.blake2b(digest_size=16)
         for key in sorted(key for key, cell in self.cells.items() if cell.alive):
             found.update(msgpack.encode([key, self.cells[key].live()]))
@@ -350,8 +352,8 @@
                 [[*key, cell.words()] for key, cell in self.cells.items()]]
 
     def load(self, image, now):
-        """From a snapshot, or one started from. What of it was pushed or not is not known: nothing is fresh. A
-        lease's term is counted from now, as nobody knows how long this instance was away."""
+        """From a snapshot, or one started from. What of it was pushed or not is not known: nothing is fresh.
+        A lease's term is counted from now, as nobody knows how long this instance was away."""
         self.time, seen, collected, self.floor, cells = image
         self.seen, self.collected = dict(seen), dict(collected)
         for kind, name, part, state in cells:
@@ -371,9 +373,9 @@
             self.since[key] = now
 
     def own_seen(self, last):
-        """What the start of this instance that ran last on this directory (its replica's id) changed was changed
-        here, in order: all up to the last is held. Not so of earlier ones: the directory may be an old copy that
-        was brought back, and what they changed after it came from others, with gaps."""
+        """What the start of this instance that ran last on this directory (its replica's id) changed was
+        changed here, in order: all up to the last is held. Not so of earlier ones: the directory may be an
+        old copy that was brought back, and what they changed after it came from others, with gaps."""
         for cell in self.cells.values():
             for replica, number in cell.dots():
                 if replica == last:
--- a/wheathill/store/sync.py
+++ b/wheathill/store/sync.py
@@ -1,8 +1,9 @@
-"""How copies meet: changes are pushed as they are made, and every so often one member is asked for what is missing.
+"""How copies meet: changes are pushed as they are made, and every so often one member is asked for what is
+missing.
 
-Without I/O. `actions` has `send(member, words)` and `alarm(at, what)`; `members()` gives the names of those that
-are there, `counted()` of those whose having seen a tombstone matters. A message that is lost, doubled, late or out
-of order costs time, never a difference that stays.
+Without I/O. `actions` has `send(member, words)` and `alarm(at, what)`; `members()` gives the names of those
+that are there, `counted()` of those whose having seen a tombstone matters. A message that is lost, doubled,
+late or out of order costs time, never a difference that stays.
 """
 
 PUSH, ASK, ANSWER = "push", "store?", "store"
@@ -76,12 +77,14 @@
             raise ValueError(f"{kind!r} is no kind of message")
 
     def on_answer(self, now, member, number, place, count, whole, seen, collected, floor, cells):
-        if self.waiting is None or self.waiting[:2] != [number, member] or not 0 <= place < count <= self.most_parts:
+        if self.waiting is None or self.waiting[:2] != [number, member]:
+            return
+        if not 0 <= place < count <= self.most_parts:
             return
         parts = self.waiting[2]
         parts[place] = cells
         if len(parts) == count:
             self.waiting = None
-            self.replica.answered(whole, [cell for place in range(count) for cell in parts[place]], seen, collected,
-                                  floor, now)
+            cells = [cell for place in range(count) for cell in parts[place]]
+            self.replica.answered(whole, cells, seen, collected, floor, now)
             self.replica.note(member, seen)
