--- a/wheathill/lab/front.py
+++ b/wheathill/lab/front.py
@@ -6,11 +6,10 @@
 
 
 class Front:
-    def __init__(self, host, limits, chance, record, notice, ask_every):
+    def __init__(self, host, limits, record, notice, ask_every):
         self.host = host
         self.limits = limits
         self.clock = host.clock
-        self.choice = chance.choice
         self.record = record
         self.notice = notice
         self.ask_every = ask_every
--- a/wheathill/lab/gateway.py
+++ b/wheathill/lab/gateway.py
@@ -21,7 +21,7 @@
         self.name, self.host = name, host
         self.limits, self.record, self.store, self.dedup = limits, record, store, dedup
         self.clock = host.clock
-        self.expovariate, self.random = chance.expovariate, chance.random
+        self.expovariate = chance.expovariate
         self.cores, self.speed, self.queue = cores, speed, queue
         self.setup_ms, self.line_ms, self.probe_ms = setup_ms, line_ms, probe_ms
         self.holds = holds              # connections at full load, when warm
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -142,31 +142,47 @@
 
 
 class NoEffectTwice(Judge):
-    """Rule 2. `repeats`: listener -> (repeat, scope, window in ms); `places`: server -> (zone, cell). Only
-    what the proxy repeats counts: a client that tries again after a failure does so at its own risk."""
+    """Rule 2. `repeats`: listener -> (repeat, scope, window in ms). Only what the proxy repeats counts: a
+    client that tries again after a failure does so at its own risk. A once-only session is dialled again only
+    where each earlier dial was answered BUSY or never reached a server, whether or not it really ran."""
 
     rule = 2
 
-    def __init__(self, *args, repeats, places):
+    def __init__(self, *args, repeats):
         super().__init__(*args)
         self.repeats = repeats
-        self.places = places
         self.listeners = {}     # session -> listener
         self.out = {}           # session -> {server: since}
+        self.past = {}          # session -> {server: how its dial there ended, None while it has not}
         self.ran = {}           # session -> [(when, server)]
 
     def on_open(self, now, sess, listener, mid, **_):
+        # Packets of an open connection run nothing anew.
+        self.past[sess] = None if mid else {}
         if not mid:
             self.listeners[sess] = listener
 
     def on_dial(self, now, sess, server, first):
+        past = self.past.get(sess)
+        if past is not None:
+            if self.repeat(sess)[0] == "once-only":
+                for other, how in past.items():
+                    if how != "answered BUSY":
+                        self.breach(now, f"dialled again, once-only, though the dial at {other} may have run",
+                                    sess, server)
+            past[server] = None
         out = self.out.setdefault(sess, {})
         for other, since in out.items():
             # The end of the earlier one may still be on its way.
             out[other] = since, now if since[1] is None else since[1]
         out[server] = (now, None)
 
+    def repeat(self, sess):
+        return self.repeats.get(self.listeners.get(sess), ("repeatable", "all", 0.0))
+
     def on_dial_over(self, now, sess, server, how):
+        if self.past.get(sess):
+            self.past[sess][server] = how
         dial = self.out.get(sess, {}).pop(server, None)
         if dial is not None and dial[1] is not None and now - dial[1] > self.slack:
             self.breach(now, f"two dials out at once for {now - dial[1]:.0f} ms", sess, server)
@@ -185,7 +201,7 @@
 
     def on_ran(self, now, sess, server, copy):
         ran = self.ran.setdefault(sess, [])
-        repeat, scope, window = self.repeats.get(self.listeners.get(sess), ("repeatable", "all", 0.0))
+        repeat, scope, window = self.repeat(sess)
         if ran and repeat == "once-only":
             self.breach(now, f"ran at {ran[0][1]} and again at {server}, once-only", sess, server)
         elif ran and repeat == "referenced" and not copy:
@@ -194,7 +210,7 @@
         ran.append((now, server))
 
     def on_answer(self, now, sess, word, rest):
-        repeat, scope, _ = self.repeats.get(self.listeners.get(sess), ("repeatable", "all", 0.0))
+        repeat, scope, _ = self.repeat(sess)
         if word == "BUSY" and self.ran.get(sess) and \
                 (repeat == "once-only" or repeat == "referenced" and scope != "all"):
             self.breach(now, f"refused although it ran at {self.ran[sess][-1][1]}", sess)
@@ -216,7 +232,6 @@
         self.grace = grace
         self.proxies = {}       # session -> its proxy
         self.told = {}          # (proxy, server) -> when
-        self.mid = {}
 
     def on_open(self, now, sess, proxy, mid, **_):
         self.proxies[sess] = proxy
@@ -305,11 +320,11 @@
         self.breach(now, f"{proxy} ended by itself with {code}")
 
 
-def judge(events, now, *, slack, repeats, places, grace, multiple, window, proxies, kept=8):
+def judge(events, now, *, slack, repeats, grace, multiple, window, proxies, kept=8):
     """All breaches of a run that ended at `now`, in order of time."""
     breaches, histories = [], {}
     common = breaches, histories, slack
-    judges = [OneAnswer(*common), NoEffectTwice(*common, repeats=repeats, places=places),
+    judges = [OneAnswer(*common), NoEffectTwice(*common, repeats=repeats),
               Drains(*common, grace=grace),
               ColdServers(*common, multiple=multiple, window=window, proxies=proxies), Faults(*common)]
     for event in events:
--- a/wheathill/lab/mutants.py
+++ b/wheathill/lab/mutants.py
@@ -113,6 +113,7 @@
     "cuts off": (CutsOff, 1, "cut off without MOVE"),
     "dials twice at once": (DialsTwiceAtOnce, 2, "two dials out at once"),
     "dials what ran": (DialsWhatRan, 2, "ran at"),
+    "dials what may have run": (DialsWhatRan, 2, "may have run"),
     "refuses what ran": (RefusesWhatRan, 2, "refused although it ran"),
     "dials a drained server": (DialsDrained, 3, "after it was told that it leaves"),
     "floods a cold one": (FloodsCold, 4, "dials within"),
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -77,8 +77,7 @@
                               share=kind.weight, born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
         front = world.host("front", None, self.limits)
-        self.front = Front(front, self.limits, self.chance("front"), record, script.front.notice_ms,
-                           script.front.ask_ms)
+        self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
         self.seats, self.agents = {}, {}
         for name, zone in peers:
             host = world.host(f"agent-{name}", zone, self.limits)
@@ -154,7 +153,6 @@
         script = self.script
         repeats = {item.name: (item.repeat, item.scope, item.window_s * 1000) for item in script.listener}
         return judge(self.record.events, self.clock.now(), slack=self.world.slack(script), repeats=repeats,
-                     places={name: place[1:] for name, place in self.kinds.items()},
                      grace=script.rules.drain_grace_ms, multiple=script.rules.cold_multiple,
                      window=script.rules.cold_window_ms, proxies=script.proxies.count)
 
--- a/wheathill/lab/store.py
+++ b/wheathill/lab/store.py
@@ -13,8 +13,7 @@
         self.queue = queue
         self.slower = 1.0
         self.busy = 0
-        self.waiting = deque()      # (done, when it came)
-        self.unreached = False
+        self.waiting = deque()
 
     def call(self, done):
         """`done` is called with whether it went well; when it is full, at once with False."""
