--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -1,5 +1,6 @@
 """The seam: the virtual network tells a machine what sockets tell it, and one script runs in both worlds."""
 
+import asyncio
 import random
 import tomllib
 
@@ -8,8 +9,9 @@
 from drive import kept
 from wheathill.config import Limits
 from wheathill.lab import script as scripts
-from wheathill.lab.peers import Faults, VirtualPeers
+from wheathill.lab.peers import Faults, SocketPeers, VirtualPeers
 from wheathill.lab.run import play
+from wheathill.lab.sockets import LabClock
 from wheathill.lab.world import VirtualWorld, raise_fault
 from wheathill.net.machine import Machine
 
@@ -207,6 +209,37 @@
         raise_fault("fault")
 
 
+def test_datagrams_on_sockets():
+    """The same faults over UDP: what is cut does not arrive, the rest does."""
+    loop = asyncio.new_event_loop()
+    heard = []
+    faults = Faults(random.Random("seed"), 1.0, 0.5, doubled=0.5)
+
+    async def talk():
+        peers = SocketPeers(loop, LabClock(loop), faults)
+        done = asyncio.Event()
+        ends = {}
+        for name in "ab":
+            def received(data, came, name=name):
+                heard.append((name, data, came))
+                if data == b"last":
+                    done.set()
+            ends[name] = await peers.endpoint(name, received)
+        faults.cut("a", "b", both=False)
+        ends["a"].send("b", b"cut off")
+        ends["b"].send("a", b"still heard")
+        while ("a", b"still heard", "b") not in heard:
+            await asyncio.sleep(0.001)
+        faults.mend()
+        ends["a"].send("b", b"last")
+        await asyncio.wait_for(done.wait(), 8)
+        for end in ends.values():
+            end.close()
+    loop.run_until_complete(talk())
+    loop.close()
+    assert {("a", b"still heard", "b"), ("b", b"last", "a")} == set(heard)
+
+
 def test_sockets_world():
     """One script with a bit of everything, on real sockets and processes, within the rules."""
     text = open("tests/scripts/mutants.toml").read().replace("seconds = 14", "seconds = 9") + """
