--- a/wheathill/lab/clients.py
+++ b/wheathill/lab/clients.py
@@ -8,8 +8,8 @@
     """Clients of one kind: same listener, desk and habits. Times in ms; `life`, `rest` and `think` are
     means."""
 
-    def __init__(self, host, limits, chance, record, front, listener, runs, *, name, zone, desk, groups, life, rest,
-                 think, gives_up, retry, wait, honours, tries, silence, returns, leaves, mid_flow):
+    def __init__(self, host, limits, chance, record, front, listener, runs, *, name, zone, desk, groups, life,
+                 rest, think, gives_up, retry, wait, honours, tries, silence, returns, leaves, mid_flow):
         self.host, self.limits, self.record, self.front = host, limits, record, front
         self.clock = host.clock
         self.expovariate, self.uniform, self.random = chance.expovariate, chance.uniform, chance.random
@@ -141,7 +141,8 @@
                 values.append(f"{key}={value}")
         self.opened = self.clock.now()
         self.record.note("open", sess=self.name, proxy=self.proxy, listener=crowd.listener.name,
-                         crowd=crowd.name, desk=crowd.desk, deadline=crowd.listener.dial_timeout_ms, mid=self.mid,
+                         crowd=crowd.name, desk=crowd.desk, deadline=crowd.listener.dial_timeout_ms,
+                         mid=self.mid,
                          effect=f"{self.person.name}/{self.person.intention}")
         self.wire.send(b"OPEN ", self.name.encode(), b" ", self.person.name.encode(), b" ",
                        ",".join(values).encode(), END)
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -17,7 +17,8 @@
         return f"rule {self.rule} at {self.now:.1f} ms, {where}: {self.what}"
 
     def told(self):
-        last = [f"{now:.1f} {kind} " + " ".join(f"{key}={value}" for key, value in fields.items() if key != "sess")
+        last = [f"{now:.1f} {kind} " + " ".join(
+                    f"{key}={value}" for key, value in fields.items() if key != "sess")
                 for now, kind, fields in self.last]
         return {"rule": self.rule, "ms": self.now, "what": self.what, "sess": self.sess,
                 "server": self.server, "last": last}
--- a/wheathill/lab/members.py
+++ b/wheathill/lab/members.py
@@ -124,7 +124,8 @@
 
     def digest(self):
         return [(name, member.name, member.state, member.incarnation)
-                for name, instance in self.instances.items() for member in instance.membership.members.values()]
+                for name, instance in self.instances.items()
+                for member in instance.membership.members.values()]
 
 
 def measure(count, loss, seeds, kills=1, quiet=20.0, watched=40.0):
--- a/wheathill/lab/run.py
+++ b/wheathill/lab/run.py
@@ -20,7 +20,8 @@
         self.breaches = found
         self.figures = {
             "script": scene.script.name, "seed": scene.seed, "world": scene.world.name,
-            "policy": scene.policy, "seconds": scene.script.seconds, "took_s": round(took, 3), "counts": counts(record),
+            "policy": scene.policy, "seconds": scene.script.seconds, "took_s": round(took, 3),
+            "counts": counts(record),
             "handshake_ms": record.handshakes.figures(), "message_ms": record.messages.figures(),
             "breaches": [breach.told() for breach in found], "fingerprint": record.fingerprint()}
 
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -67,7 +67,8 @@
             gateway = self.gateways[name] = Gateway(
                 name, host, self.limits, record, self.chance(name), self.store, dedup,
                 cores=kind.cores, speed=kind.speed, queue=kind.queue, setup_ms=kind.setup_ms,
-                line_ms=kind.line_ms, probe_ms=kind.probe_ms, holds=kind.holds, warm_from=kind.warm_from, warm_s=kind.warm_s,
+                line_ms=kind.line_ms, probe_ms=kind.probe_ms, holds=kind.holds, warm_from=kind.warm_from,
+                warm_s=kind.warm_s,
                 falls_over=kind.falls_over, fall_window_ms=kind.fall_window_ms, falls_at=kind.falls_at,
                 report_ms=kind.report_ms, fields=FIELDS,
                 keeps_ms=10_000.0 if script.proxies.packets_pass else 0.0)
--- a/wheathill/lab/world.py
+++ b/wheathill/lab/world.py
@@ -12,7 +12,7 @@
 
 from wheathill.config import node_of
 from wheathill.lab.tap import Tap
-from wheathill.net.driver import tell_fault
+from wheathill.net.driver import Guarded
 from wheathill.net.proxy import Proxy
 from wheathill.policy import Balancer
 
@@ -218,9 +218,6 @@
         if self.backlog:
             self.look()
 
-    def hold(self, on):
-        pass        # a paused host's accepts wait at its gate
-
     def close(self):
         self.host.doors.pop(self.address, None)
         if self.host.net.doors.get(self.address) is self:
@@ -336,7 +333,7 @@
         self.transmit(far, door.host, wire.host, wire.came_up)
 
 
-class VirtualWire:
+class VirtualWire(Guarded):
     """One end of a connection, as `net.driver.Wire` is on sockets."""
 
     WINDOW = 262_144
@@ -366,13 +363,6 @@
         self.carrier.sockets += on - self.counted
         self.counted = on
 
-    def guard(self, call, *args):
-        try:
-            call(*args)
-        except Exception as wrong:
-            tell_fault(self.carrier.log, call, wrong)
-            self.machine.fault()
-
     # What arrives
 
     def came_up(self):
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -80,7 +80,19 @@
         self.later = self.carrier.loop.call_later(self.carrier.limits.accept_pause / 1000, self.hold, False)
 
 
-class Wire(asyncio.BufferedProtocol):
+class Guarded:
+    """What every wire does with its machine, on sockets and in the lab."""
+
+    def guard(self, call, *args):
+        """A fault in one connection's callback ends that connection, with an answer, and no other."""
+        try:
+            call(*args)
+        except Exception as wrong:
+            tell_fault(self.carrier.log, call, wrong)
+            self.machine.fault()
+
+
+class Wire(Guarded, asyncio.BufferedProtocol):
     def __init__(self, carrier, make_machine):
         self.carrier = carrier
         self.machine = make_machine(self)
@@ -165,14 +177,6 @@
             self.guard(self.machine.lost, reset)
         self.over = True
 
-    def guard(self, call, *args):
-        """A fault in one connection's callback ends that connection, with an answer, and no other."""
-        try:
-            call(*args)
-        except Exception as wrong:
-            tell_fault(self.carrier.log, call, wrong)
-            self.machine.fault()
-
     @property
     def reached(self):
         """It was up once."""
--- a/wheathill/store/journal.py
+++ b/wheathill/store/journal.py
@@ -1,14 +1,14 @@
 """The store's directory: a log of records with checksums, and snapshots; read whole at the start.
 
-    cluster     the cluster's name, so that a directory of another one is found
-    lock        held by the process that has the directory open
-    log.N       records since snapshot N: length (4 bytes), CRC-32 (4 bytes), msgpack
-    snap.N      one such record that holds the whole
-
-What `append` was given counts as kept once the `sync` after it has returned. A log whose end was torn off by a kill
-ends before the torn record, which nobody was told is kept. A record damaged in the middle is another matter: what
-follows it is still read, where it can be, and `damage` says so. A snapshot is written beside, synced, renamed, the
-directory synced, and only then the older log goes. All failures of the disk come as `DiskFailed`, with the file.
+cluster     the cluster's name, so that a directory of another one is found lock        held by the process
+that has the directory open log.N       records since snapshot N: length (4 bytes), CRC-32 (4 bytes), msgpack
+snap.N      one such record that holds the whole
+
+What `append` was given counts as kept once the `sync` after it has returned. A log whose end was torn off by
+a kill ends before the torn record, which nobody was told is kept. A record damaged in the middle is another
+matter: what follows it is still read, where it can be, and `damage` says so. A snapshot is written beside,
+synced, renamed, the directory synced, and only then the older log goes. All failures of the disk come as
+`DiskFailed`, with the file.
 """
 
 import fcntl
@@ -48,8 +48,8 @@
 
 
 def records(data):
-    """(records, where the good part ends, places of damage). After damage the next place is looked for where a
-    whole record with a right checksum stands."""
+    """(records, where the good part ends, places of damage). After damage the next place is looked for where
+    a whole record with a right checksum stands."""
     found, damage, place, good = [], [], 0, 0
     while place < len(data):
         words, after = one(data, place)
@@ -84,8 +84,8 @@
 
 
 class Journal:
-    """One open directory. `image` is the last snapshot's words or None, `tail` the records since, `torn` the bytes
-    of an unfinished record that were cut off, `damage` [(file, place)] in what was kept."""
+    """One open directory. `image` is the last snapshot's words or None, `tail` the records since, `torn` the
+    bytes of an unfinished record that were cut off, `damage` [(file, place)] in what was kept."""
 
     def __init__(self, path, cluster, files=None):
         self.path = path
@@ -178,8 +178,8 @@
     # Writing
 
     def append(self, words):
-        """Many records at once. After a failure nothing more is written to this log: what stands behind a half
-        record could not be told from damage."""
+        """Many records at once. After a failure nothing more is written to this log: what stands behind a
+        half record could not be told from damage."""
         if self.broken:
             raise DiskFailed(self.broken)
         data = b"".join(map(record, words))
--- a/wheathill/store/kept.py
+++ b/wheathill/store/kept.py
@@ -1,8 +1,10 @@
-"""Makes a replica's changes durable without its loop ever waiting: a thread writes and syncs what has gathered.
+"""Makes a replica's changes durable without its loop ever waiting: a thread writes and syncs what has
+gathered.
 
-`put` hands a record over and returns. What was handed over together is synced together (group commit), and `kept` is
-called in the loop, by way of `call_soon`, with how many records are safe by now. When the disk fails `failed` is called
-with the words for it, once; the replica goes on in memory and the others hold what it writes.
+`put` hands a record over and returns. What was handed over together is synced together (group commit), and
+`kept` is called in the loop, by way of `call_soon`, with how many records are safe by now. When the disk
+fails `failed` is called with the words for it, once; the replica goes on in memory and the others hold what
+it writes.
 """
 
 import queue
