The operators' door: status and figures, on the clients' inherited socket where there is one

Ruled out: start time (0.2 s) and memory.

NODE_FD's socket is checked and used as it is; told to stop, a process that shares it takes nobody in any more. Where the door is on, nine more descriptors are set aside.

--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -7,6 +7,7 @@
 
 import json
 import math
+import socket
 from dataclasses import dataclass
 
 from wheathill.model import Listener, Repeat
@@ -166,6 +167,11 @@
     stop_linger: float = 150.0
     log_lines: int = 4000               # held for a reader that does not read
     figures: float = 10_000.0           # how often counts are logged
+    calls: int = 8                      # of operators at a time, beside the spare descriptors
+    call: float = 2000.0                # for a whole call to come
+    call_head: int = 8192
+    call_headers: int = 64
+    call_body: int = 65536
 
 
 def buffers(memory_mb, sockets):
@@ -181,6 +187,8 @@
 
     name: str
     listen: tuple
+    listen_fd: int | None               # the clients' socket, inherited; none: bound by the proxy
+    admin: tuple | None                 # where operators call; none: there is no such door
     discovery: tuple | None             # none: `known` is the whole list
     seed: str
     limits: Limits
@@ -209,6 +217,24 @@
             for found in needs_restart(old.get(key), new.get(key), f"{path}.{key}" if path else key)]
 
 
+def inherited(text, path):
+    """The descriptor that `text` names: a stream socket that listens. It stays as it is."""
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise Misconfigured(f"{path}: {text!r} is no descriptor")
+    try:
+        sock = socket.socket(fileno=int(text))
+    except OSError as wrong:
+        raise Misconfigured(f"{path}: descriptor {text}: {wrong}") from None
+    try:
+        if sock.type != socket.SOCK_STREAM or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise Misconfigured(f"{path}: descriptor {text} is no stream socket that listens")
+    finally:
+        sock.detach()
+    return int(text)
+
+
 def address(text, path):
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
@@ -225,8 +251,12 @@
             found = json.load(source)
     except (OSError, ValueError) as wrong:
         raise Misconfigured(f"NODE_CONFIG: {path}: {wrong}") from None
-    return node_of(found, {key: environ.get("NODE_" + key.upper())
-                           for key in ("name", "listen", "discovery")})
+    return node_of(found, surroundings(environ))
+
+
+def surroundings(environ):
+    """What the environment tells a proxy beside its configuration."""
+    return {key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery", "admin_addr", "fd")}
 
 
 def node_of(values, instead=None):
@@ -243,9 +273,14 @@
     sockets = allowed.count("sockets", 1024, least=64)
     where = {key: None if top.values.get(key) is False and key == "discovery" else
              address(top.text(key, instead.get(key)), key) for key in ("listen", "discovery")}
+    admin = top.text("admin_addr", instead.get("admin_addr") or "")
+    # Operators must get through when clients hold all that is theirs: the calls' descriptors and the door's.
+    spare = Limits.spare_sockets + (Limits.calls + 1 if admin else 0)
     return Node(
         name=top.text("name", instead.get("name")), **where, seed=top.text("seed"),
-        limits=Limits(sockets=sockets, **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
+        listen_fd=inherited(instead.get("fd"), "NODE_FD"), admin=address(admin, "admin_addr") if admin else None,
+        limits=Limits(sockets=sockets, spare_sockets=spare,
+                      **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
                       longest_dial=max(listener.dial_timeout for listener in listeners),
                       idle=settings.part("limits").ms("idleCloseS", 30_000.0)),
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -5,11 +5,12 @@
 """
 
 import hashlib
+import os
 from typing import Annotated, Literal
 
 from msgspec import Meta, Struct, field
 
-from wheathill.config import Misconfigured, address, checked, node_of
+from wheathill.config import Misconfigured, address, checked, node_of, surroundings
 
 Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[!-~]+$",
                            description="printable, no blanks")]
@@ -85,6 +86,7 @@
     listen: Address
     listener: Annotated[list[ListenerTable], Meta(min_length=1)]
     discovery: Address | None = None
+    admin_addr: Address | None = None
     server: list[ServerTable] = []
     desk: list[Name] = []
     zone: list[Name] = []
@@ -120,7 +122,7 @@
         if item.repeat == "referenced" and not item.window_s:
             yield f"listener[{place}].window_s: a referenced listener needs its servers' dedup window"
     for where, text in (("listen", file.listen), ("discovery", file.discovery),
-                        *((f"server[{place}].address", item.address)
+                        ("admin_addr", file.admin_addr), *((f"server[{place}].address", item.address)
                           for place, item in enumerate(file.server))):
         if text is not None:
             try:
@@ -138,6 +140,7 @@
     seed = file.seed or hashlib.blake2b(f"{file.name} {file.listen}".encode(), digest_size=8).hexdigest()
     return {
         "name": file.name, "listen": file.listen, "discovery": file.discovery or False, "seed": seed,
+        "admin_addr": file.admin_addr,
         "limits": {"sockets": limits.sockets, "memory_mb": limits.memory_mb},
         "known": {"seq": 0, "whole": True, "hosts": hosts},
         "settings": {
@@ -171,4 +174,5 @@
 
 
 def read(path):
-    return node_of(platform_form(file_of(checked.load(path))))
+    """The file says all but what is handed to the process: `$NODE_FD`, and `$NODE_ADMIN_ADDR` where it names none."""
+    return node_of(platform_form(file_of(checked.load(path))), surroundings(os.environ))
--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -25,10 +25,18 @@
     loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
     loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
     try:
-        carrier.listen(proxy.client, node.listen, proxy.room)
+        proxy.door = carrier.listen(proxy.client, node.listen, proxy.room, node.listen_fd)
     except OSError as wrong:
         raise Misconfigured(f"listen: {wrong}") from None
-    log("listening", at=":".join(map(str, node.listen)))
+    log("listening", at=":".join(map(str, node.listen)), inherited=node.listen_fd is not None)
+    if node.admin:
+        from wheathill.net.operators import OperatorsDoor
+        door = OperatorsDoor(proxy)
+        try:
+            carrier.listen(door.call, node.admin, door.room)
+        except OSError as wrong:
+            raise Misconfigured(f"admin_addr: {wrong}") from None
+        log("operators' door", at=":".join(map(str, node.admin)))
     proxy.start()
     await stopped.wait()
 
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -9,6 +9,7 @@
         super().__init__(door, limits, clock)
         self.wire = wire
         self.head = None
+        self.listener = None    # that its head names
         self.sess = None
         self.came = None
         self.dial = None        # the one that is out or up
@@ -118,4 +119,4 @@
         if self.up:
             self.wire.abort(reset=True)
         else:
-            self.answer(b"ERR")
+            self.door.answer(self, b"ERR")
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -21,8 +21,9 @@
     def free(self):
         return self.limits.sockets - self.limits.spare_sockets - self.sockets
 
-    def listen(self, make_machine, address, room):
-        return Door(self, make_machine, address, room)
+    def listen(self, make_machine, address, room, inherited=None):
+        """`inherited`: the descriptor of a socket that listens there already."""
+        return Door(self, make_machine, listening(address, inherited, self.limits.backlog), room)
 
     def connect(self, machine, address):
         wire = Wire(self, lambda _: machine)
@@ -32,17 +33,27 @@
         return wire
 
 
+def listening(address, inherited, backlog):
+    """Raises OSError. One that is inherited is shared with other processes: as it is, and not handed on."""
+    if inherited is not None:
+        sock = socket.socket(fileno=inherited)
+        sock.set_inheritable(False)
+    else:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.create_server(address, family=family, backlog=backlog)
+    sock.setblocking(False)
+    return sock
+
+
 class Door:
     """A listening socket. Accepts a few at a time, so that their lines are read before the next ones hold a
     descriptor: asyncio's own servers take the whole backlog at once. What can't be taken waits there."""
 
-    def __init__(self, carrier, make_machine, address, room):
+    def __init__(self, carrier, make_machine, sock, room):
         self.carrier = carrier
         self.make_machine = make_machine
         self.room = room
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.create_server(address, family=family, backlog=carrier.limits.backlog)
-        self.sock.setblocking(False)
+        self.sock = sock
         self.later = None
         self.hold(False)
 
--- /dev/null
+++ b/wheathill/net/operators.py
@@ -0,0 +1,50 @@
+"""The operators' door: who is let in, which path leads where, and what the proxy answers there."""
+
+from wheathill.net.admin import Call, No
+
+
+class OperatorsDoor:
+    """Holds a few calls at a time, in descriptors that are set aside for it."""
+
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.calls = {}         # not over yet, oldest first
+        # Later subsystems add their paths here: (what answers, what the query has to name).
+        self.paths = {"/status": {"GET": (self.status,)},
+                      "/status/metrics": {"GET": (proxy.metrics,)}}
+
+    def call(self, wire):
+        call = Call(wire, self.answer, self.proxy.limits, self.proxy.clock)
+        self.calls[call] = None
+        return call
+
+    def room(self):
+        """The oldest call makes room: who says nothing must not keep others out."""
+        for call in [call for call in self.calls if not call.wire.counted]:
+            del self.calls[call]
+        if len(self.calls) >= self.proxy.limits.calls:
+            oldest = next((call for call in self.calls if call.done), next(iter(self.calls)))
+            del self.calls[oldest]
+            oldest.make_room()
+        return True
+
+    def answer(self, method, path, query):
+        ways = self.paths.get(path)
+        if ways is None:
+            raise No(404, f"no such path; known here: {', '.join(self.paths)}")
+        if method not in ways:
+            raise No(405, f"{path} takes {' or '.join(ways)}", Allow=", ".join(ways))
+        handler, *names = ways[method]
+        return handler(*(self.one(query, name) for name in names))
+
+    @staticmethod
+    def one(query, name):
+        found = query.get(name, ())
+        if len(found) != 1 or not found[0]:
+            raise No(400, f"{name} is {'given twice' if len(found) > 1 else 'missing or empty'}")
+        return found[0]
+
+    def status(self):
+        if not self.proxy.ready:
+            raise No(503, "stopping" if self.proxy.stopping is not None else "starting")
+        return {"status": "ready"}
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -5,13 +5,13 @@
 """
 
 import random
-from collections import Counter
 from itertools import islice
 
 from wheathill.config import address, needs_restart
 from wheathill.model import ListKind, Outcome, Phase, Server, Session
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
+from wheathill.net.figures import Figures
 from wheathill.net.lines import Malformed, report
 from wheathill.net.server import Dialled, ProbeLink
 from wheathill.policy import Balancer
@@ -26,6 +26,8 @@
 class Proxy:
     def __init__(self, node, carrier, clock, log, decisions=Balancer):
         self.carrier = carrier
+        self.figures = Figures()
+        self.door = None        # where clients are taken in
         self.take(node)
         self.started_with = node.told
         self.clock = clock
@@ -43,7 +45,6 @@
         self.watch_why = None   # it ended last time, and nothing came since
         self.ready = False
         self.stopping = None
-        self.counts = Counter()
         self.bad_since = self.bad_logged = 0
         self.balancer = decisions(self, random.Random(node.seed), **node.balancer)
 
@@ -51,6 +52,7 @@
         self.node = node
         self.limits = self.carrier.limits = node.limits
         self.listeners = {listener.name: listener for listener in node.listeners}
+        self.figures.know(self.listeners)
         self.tenants = {name: place for place, name in enumerate(node.tenants)}
 
     def now(self):
@@ -95,6 +97,9 @@
             self.stopping = self.now()
             self.ready = False
             self.log_event("stopping", sessions=len(self.clients))
+            if self.node.listen_fd is not None:
+                # Others listen on the same socket: whoever waits there is theirs.
+                self.door.close()
             self.clock.after(self.limits.newcomers, self.wait_for_end, stopped)
             self.balancer.on_stop(self.stopping, False)
 
@@ -107,7 +112,7 @@
         last = now >= self.stopping + most
         self.balancer.on_stop(now, last)
         if last or not self.clients:
-            self.log_event("stopped", sessions=len(self.clients), since_start=self.counts)
+            self.log_event("stopped", sessions=len(self.clients), since_start=self.figures.since_start())
             # The last MOVE lines are on their way: an end too soon would overtake them.
             self.clock.after(self.limits.stop_linger, stopped)
         else:
@@ -115,21 +120,33 @@
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
-        self.log_event("figures", **self.beliefs(), since_start=self.counts)
+        self.log_event("figures", **self.beliefs(), since_start=self.figures.since_start())
+
+    def metrics(self):
+        """What operators are told; the counts are those of the log."""
+        listed = [server for server in self.servers.values() if server.phase is not Phase.GONE]
+        left_out = self.left_out(self.now())
+        return {**self.figures.told(), "pending": len(self.clients), "members": len(listed),
+                "members_unavailable": sum(server.phase is not Phase.READY or server.name in left_out
+                                           for server in listed)}
 
     def beliefs(self):
         """What the decisions take for true, beside what the sockets hold."""
-        now, balancer = self.now(), self.balancer
+        return {"sessions": len(self.clients), "up": sum(client.up for client in self.clients.values()),
+                "placed": sum(len(server.sessions) for server in self.servers.values()),
+                "sockets": self.carrier.sockets, "servers": len(self.balancer.roster.servers),
+                "left_out": self.left_out(self.now())}
+
+    def left_out(self, now):
+        """The ready servers that nothing new goes to, by name, and why."""
+        balancer = self.balancer
         servers = list(balancer.roster.servers)
-        left_out = {server.name: why for why, test in (
+        return {server.name: why for why, test in (
             ("cold, past its budget", lambda server: not balancer.cold.allows(now, server)),
             ("full", lambda server: balancer.levels.expected(now, server) >= balancer.levels.full),
             ("late", lambda server: balancer.levels.late_now(now, server)),
             ("failing", lambda server: balancer.health.failing(now, server)),
             ("silent", balancer.health.silent)) for server in servers if test(server)}
-        return {"sessions": len(self.clients), "up": sum(client.up for client in self.clients.values()),
-                "placed": sum(len(server.sessions) for server in self.servers.values()),
-                "sockets": self.carrier.sockets, "servers": len(servers), "left_out": left_out}
 
     # Clients
 
@@ -163,6 +180,7 @@
         listener = self.listeners.get(head.values.get("c"))
         if listener is None:
             raise Malformed("c names no listener")
+        client.listener = listener
         left = min(head.number("d", listener.dial_timeout), listener.dial_timeout)
         tenant = head.values.get("t")
         if tenant is not None and self.tenants and tenant not in self.tenants:
@@ -174,8 +192,8 @@
                        returning=head.flag("again"), repeat=head.flag("r"))
         self.note_id(head, sess)
         if self.carrier.free <= 0:
-            self.counts["no sockets"] += 1
-            client.answer(busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
+            self.figures.count("no sockets")
+            self.answer(client, busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
         elif "at" in head.values:
             client.sess = sess
             sess.deadline = now + self.limits.standing
@@ -183,7 +201,7 @@
         else:
             self.clients[sess] = client
             client.sess = sess
-            self.counts["came"] += 1
+            self.figures.count("came")
             client.set_timer(left, self.late, client)
             self.balancer.on_session(now, sess)
 
@@ -203,20 +221,27 @@
         """The decisions have missed a deadline, which only a fault can do: the client must not suffer."""
         self.log_event("fault", where="decisions", what="no answer in time")
         self.hung_up(client)
-        client.answer(b"ERR")
+        self.answer(client, b"ERR")
+
+    def answer(self, client, line):
+        """A session's final answer where it isn't UP: the one place where it is given, and counted for the
+        listener that it named."""
+        if client.listener is not None:
+            self.figures.ended(client.listener, "rejected" if line.startswith(b"BUSY") else "failed")
+        client.answer(line)
 
     def bad_client(self, client, why):
         self.silent.pop(client, None)
-        self.counts["bad"] += 1
+        self.figures.count("bad")
         # They come by hundreds, at full speed: most are only counted.
         now = self.now()
         if now - self.bad_since >= self.limits.bad_every:
             self.bad_since, self.bad_logged = now, 0
         self.bad_logged += 1
         if self.bad_logged <= self.limits.bad_lines:
-            self.log_event("bad input", what=why, so_far=self.counts["bad"])
+            self.log_event("bad input", what=why, so_far=self.figures.counts["bad"])
         client.lines.rest = b""
-        client.answer(b"ERR")
+        self.answer(client, b"ERR")
 
     def hung_up(self, client):
         self.silent.pop(client, None)
@@ -234,7 +259,7 @@
         client = self.clients.pop(sess)
         client.sess = None
         self.ids[client.head.id] = None
-        self.counts[how] += 1
+        self.figures.count(how)
         now = self.now()
         lasted = None if sess.accepted is None else round(now - sess.accepted)
         self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted,
@@ -249,7 +274,7 @@
 
     def message_took(self, client, spent):
         if client.sess is not None and spent > client.sess.listener.message_target:
-            self.counts["late messages"] += 1
+            self.figures.count("late messages")
             self.balancer.on_notice(self.now(), client.sess, message_ms=spent)
 
     def load_told(self, client, text):
@@ -282,7 +307,7 @@
             pass
         elif now >= sess.deadline:
             self.log_event("lost standing", server=name)
-            client.answer(b"ERR")
+            self.answer(client, b"ERR")
         elif name in self.servers:
             sess.server = self.servers[name]
             self.connect(client, sess.server, sess.deadline - now)
@@ -301,12 +326,15 @@
         return sess not in self.clients or self.balancer.roster.may_dial(
             self.now(), dial.server, sess.mid_flow)
 
+    def dial_sent(self, dial):
+        self.figures.count("dials sent")
+
     def dial_up(self, dial, line):
         client, sess, now = dial.client, dial.client.sess, self.now()
+        self.figures.ended(client.listener, "completed")
         client.serve(dial, line)
         self.heard(dial.server)
         if sess in self.clients:
-            self.counts["accepted"] += 1
             self.balancer.on_accepted(now, sess)
         else:
             self.clients[sess] = client
@@ -316,7 +344,7 @@
         client, now = dial.client, self.now()
         sess = client.sess
         if not dial.up:
-            self.counts["dial: " + outcome.value] += 1
+            self.figures.count("dial: " + outcome.value)
             self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
                            after=round(now - dial.started, 1))
         if sess is None:
@@ -329,7 +357,7 @@
             self.balancer.on_outcome(now, sess, outcome, True)
         elif outcome is Outcome.COMPLETED:
             # Served to its end before it was ever up: the client is told what its server said.
-            self.over(sess, outcome.value).answer(b"BYE")
+            self.answer(self.over(sess, outcome.value), b"BYE")
             self.balancer.on_outcome(now, sess, outcome, True)
         else:
             self.balancer.on_outcome(now, sess, outcome, False)
@@ -356,10 +384,10 @@
             self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
 
     def refuse(self, sess, come_back_after):
-        self.over(sess, "refused").answer(busy(come_back_after))
+        self.answer(self.over(sess, "refused"), busy(come_back_after))
 
     def tear_down(self, sess):
-        self.over(sess, "torn down").answer(b"ERR")
+        self.answer(self.over(sess, "torn down"), b"ERR")
 
     def move(self, sess):
         client = self.clients.get(sess)
@@ -389,7 +417,7 @@
     # Probes
 
     def probe(self, server):
-        self.counts["probes"] += 1
+        self.figures.count("probes")
         link = self.links.pop(server, None)
         if link is None:
             if len(self.links) >= self.limits.probe_links:
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -35,7 +35,13 @@
         left = self.until - self.clock.now()
         self.set_timer(left, self.overdue)
         self.wire.send(*self.client.head.parts(left))
-        self.sent = self.wire.drained
+        if self.wire.drained:
+            self.line_left()
+
+    def line_left(self):
+        if not self.sent:
+            self.sent = True
+            self.door.dial_sent(self)
 
     def overdue(self):
         self.give_up(Outcome.OVERDUE if self.sent else Outcome.CONNECT_FAILED)
@@ -102,7 +108,7 @@
 
     def blocked(self, on):
         if not on:
-            self.sent = True
+            self.line_left()
         if self.up:
             self.client.wire.hold(on)
 
