Servers out by hand: they drain as if listed so, by name, and come back as just started

Ruled out: the list and the decisions' reaction to it.

The roster turns ready entries of names that are out into draining ones, where lists are taken; a call plays one list change.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -89,6 +89,10 @@
             found.append((server, phase, 1.0, started))
         self.balancer.on_list(self.now, kind, found)
 
+    def hand(self, name, out):
+        self.say(f"{name} {'out by hand' if out else 'put back'}")
+        self.balancer.on_hand(self.now, name, out, self.servers.get(name))
+
     def session(self, name, listener=None, key=None, left=2000.0, **more):
         sess = Session(listener or Listener("any"), key or name, self.now + left, **more)
         self.names[sess] = name
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,5 +1,7 @@
 """Day-to-day operation: the operators' door, figures, servers out by hand, upgrades."""
 
+import os
+import pathlib
 import socket
 import subprocess
 import sys
@@ -8,6 +10,7 @@
 
 from drive import Rig, kept
 from test_net import LIMITS, Hand
+from wheathill.net import bans
 from wheathill.net.admin import Call, No
 from wheathill.net.operators import OperatorsDoor
 
@@ -116,8 +119,51 @@
         return rig.lines
 
 
+def servers_out_by_hand():
+    with Rig(mode="proxy", inherited=True, settings={"obligations": {"drainGraceS": 0.5, "coldS": 0}}) as rig:
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        client, server = rig.up()
+        name = server.name[-1]
+        other = "b" if name == "a" else "a"
+        say = "PUT /maintenance/{}?host={}".format
+        for call in (say("enter", name), say("enter", name), say("enter", "nobody"), "PUT /maintenance/enter",
+                     "PUT /maintenance/enter?host=", "PUT /maintenance/enter?host=a&host=b", f"GET /maintenance/enter?host={name}"):
+            rig.call(call)
+        client.hear()
+        rig.call("GET /status/metrics")
+        rig.tell(rig.list("a", "b"))
+        rig.up("k2", (name, other))
+        rig.begin_beside()
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        rig.up("k3", (name, other))
+        os.mkdir(bans_of(rig) + ".new")
+        rig.call(say("exit", name))
+        rig.call(say("enter", other))
+        rig.up("k4", (name, other))
+        os.rmdir(bans_of(rig) + ".new")
+        rig.call(say("exit", name))
+        rig.call(say("enter", other))
+        rig.up("k5", (name, other))
+        rig.call(say("enter", name))
+        rig.open("k6").hear()
+        return rig.lines
+
+
+def bans_of(rig):
+    return next(str(path) for path in pathlib.Path(rig.folder.name).glob("*.out"))
+
+
+@pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"version":9,"out":{}}', b'{"version":1,"out":{"a":"b"}}'])
+def test_bad_bans(tmp_path, text):
+    (tmp_path / "file").write_bytes(text)
+    with pytest.raises(ValueError):
+        bans.read(str(tmp_path / "file"), 10)
+
+
 SCENARIOS = {run.__name__: run for run in (
-    calls_by_bytes, door_under_silent_callers, second_process_on_the_same_socket)}
+    calls_by_bytes, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -374,8 +374,53 @@
         yield f"mid-flow {mid_flow}: {d.probes} probes"
 
 
+def out_by_hand():
+    """Told once, whatever the lists say; back as a server that has just started, until told of a start."""
+    d = Drive(passes_through=False)
+    d.list("a", "b", ("c", 40_000.0), kind=ListKind.CACHED)
+    d.now = 60_000.0
+    for i in range(9):
+        d.accept(f"held {i}")
+    d.hand("a", True)
+    d.hand("a", True)
+    for step, entries in (("listed ready", ["a"]), ("listed draining", [("a", Phase.DRAINING)]),
+                          ("gone", [("a", Phase.GONE)]), ("back with a new start", [("a", 70_000.0)])):
+        d.list(*entries)
+        d.say(f"{step}: may be dialled {d.balancer.roster.may_dial(d.now, d.servers['a'], False)}, "
+              f"mid-flow {d.balancer.roster.may_dial(d.now, d.servers['a'], True)}")
+    d.list("a", "b", "c", kind=ListKind.FULL)
+    d.loud = False
+    d.until(64_000.0)
+    for when, listed in ((70_000.0, None), (80_000.0, 20_000.0), (81_000.0, 62_000.0)):
+        d.until(when)
+        d.loud = True
+        if when < 80_000.0:
+            d.balancer.levels.sample(d.now, d.servers["a"], [0.9])
+            d.hand("a", False)
+            d.hand("a", False)
+        else:
+            d.list(("a", listed))
+        a = d.servers["a"]
+        d.say(f"a listed with start {listed}: counts as started {a.started}, cold {d.balancer.cold.cold(d.now, a)}, "
+              f"load known {bool(a.samples)}, ready {a in d.balancer.roster.servers}")
+    d.hand("a", True)
+    d.list(("a", Phase.DRAINING))
+    d.hand("a", False)
+    d.say(f"put back while it drains: ready {a in d.balancer.roster.servers}")
+    d.list("a")
+    d.say(f"when that ends: ready {a in d.balancer.roster.servers}")
+    for name in "abc":
+        d.hand(name, True)
+    d.session("with all out")
+    d.servers.pop("b")          # gone from the list, and forgotten
+    d.hand("b", False)
+    d.list("b")
+    d.say(f"put back while unlisted: counts as started {d.servers['b'].started}")
+    return d.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
+    out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -145,6 +145,7 @@
     ping_every: float = 50.0            # and no more of these than one in such a time, but for the first few
     pings: int = 20
     line_next: float = 10_000.0         # for the next one of a client that has sent PING
+    names: int = 8192                   # of servers ever listed, kept to know one that operators name
     ids: int = 8192                     # of sessions, kept to know one that comes again
     bad_every: float = 1000.0           # clients that said nonsense are logged, so many at most in such a time
     bad_lines: int = 5
@@ -189,6 +190,7 @@
     listen: tuple
     listen_fd: int | None               # the clients' socket, inherited; none: bound by the proxy
     admin: tuple | None                 # where operators call; none: there is no such door
+    state: str | None                   # a folder that outlives the process; none: bans are not kept
     discovery: tuple | None             # none: `known` is the whole list
     seed: str
     limits: Limits
@@ -256,7 +258,8 @@
 
 def surroundings(environ):
     """What the environment tells a proxy beside its configuration."""
-    return {key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery", "admin_addr", "fd")}
+    return {"state": environ.get("TMPDIR"), **{
+        key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery", "admin_addr", "fd")}}
 
 
 def node_of(values, instead=None):
@@ -279,6 +282,7 @@
     return Node(
         name=top.text("name", instead.get("name")), **where, seed=top.text("seed"),
         listen_fd=inherited(instead.get("fd"), "NODE_FD"), admin=address(admin, "admin_addr") if admin else None,
+        state=instead.get("state") if admin else None,
         limits=Limits(sockets=sockets, spare_sockets=spare,
                       **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -28,6 +28,7 @@
     CHANGES = "changes"
     FULL = "full"
     CACHED = "cached"
+    BY_HAND = "by hand"
     FAILED = "failed"
 
 
@@ -65,7 +66,8 @@
     cell: int = 0
     weight: float = 1.0
     started: float | None = None        # None: long ago
-    phase: Phase = Phase.READY
+    phase: Phase = Phase.READY          # as listed, but for one that is out by hand
+    listed: Phase = Phase.READY
     told: float = 0.0                   # when this proxy heard that it drains or is gone
     draws: Sequence[int] = ()           # by slot, from its name
     pull: float = 1.0                   # what they count for
--- a/wheathill/net/clock.py
+++ b/wheathill/net/clock.py
@@ -16,6 +16,9 @@
     def from_wall(self, wall):
         return wall + self.offset
 
+    def to_wall(self, when):
+        return when - self.offset
+
     def at(self, when, call, *args):
         return self.loop.call_at(when / 1000, call, *args)
 
--- a/wheathill/net/operators.py
+++ b/wheathill/net/operators.py
@@ -1,5 +1,7 @@
 """The operators' door: who is let in, which path leads where, and what the proxy answers there."""
 
+from functools import partial
+
 from wheathill.net.admin import Call, No
 
 
@@ -11,7 +13,9 @@
         self.calls = {}         # not over yet, oldest first
         # Later subsystems add their paths here: (what answers, what the query has to name).
         self.paths = {"/status": {"GET": (self.status,)},
-                      "/status/metrics": {"GET": (proxy.metrics,)}}
+                      "/status/metrics": {"GET": (proxy.metrics,)},
+                      "/maintenance/enter": {"PUT": (partial(self.hand, True), "host")},
+                      "/maintenance/exit": {"PUT": (partial(self.hand, False), "host")}}
 
     def call(self, wire):
         call = Call(wire, self.answer, self.proxy.limits, self.proxy.clock)
@@ -48,3 +52,12 @@
         if not self.proxy.ready:
             raise No(503, "stopping" if self.proxy.stopping is not None else "starting")
         return {"status": "ready"}
+
+    def hand(self, out, name):
+        if name not in self.proxy.names:
+            raise No(404, f"{name!r} was never listed here")
+        try:
+            kept = self.proxy.by_hand(name, out)
+        except OSError as wrong:
+            raise No(500, f"nothing was changed, as it can't be kept: {wrong.strerror}") from None
+        return {"host": name, "out": out, "kept": kept}
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -9,6 +9,7 @@
 
 from wheathill.config import address, needs_restart
 from wheathill.model import ListKind, Outcome, Phase, Server, Session
+from wheathill.net import bans
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
 from wheathill.net.figures import Figures
@@ -34,6 +35,7 @@
         self.log_event = log
         self.zones = {name: place for place, name in enumerate(node.zones)}
         self.servers = {}       # by name
+        self.names = {}         # of all that were ever listed, the longest unlisted first
         self.addresses = {}     # Server -> (host, port)
         self.clients = {}       # Session -> Client, in order of arrival
         self.silent = {}        # clients that have sent no line yet, oldest first
@@ -78,6 +80,7 @@
 
     def start(self):
         self.balancer.on_start(self.now())
+        self.read_bans()
         if self.node.known:
             self.listed(self.node.known, ListKind.CACHED if self.node.discovery else ListKind.FULL)
         if self.node.discovery:
@@ -442,6 +445,32 @@
             self.heard(link.server)
         self.balancer.on_probed(self.now(), link.server, outcome, figures)
 
+    # Servers out by hand
+
+    def by_hand(self, name, out):
+        """Kept first, then in force: whether it outlives this process. Raises OSError with nothing changed."""
+        held = dict(self.balancer.roster.out)
+        if out:
+            held.setdefault(name, self.now())
+        else:
+            held.pop(name, None)
+        path = bans.path_of(self.node)
+        if path and list(held) != list(self.balancer.roster.out):
+            bans.write(path, {other: self.clock.to_wall(since) for other, since in held.items()})
+        self.log_event("out by hand" if out else "put back", server=name, out=len(held))
+        self.balancer.on_hand(self.now(), name, out, self.servers.get(name))
+        return path is not None
+
+    def read_bans(self):
+        path = bans.path_of(self.node)
+        try:
+            for name, since in bans.read(path, self.limits.names).items() if path else ():
+                self.names[name] = None
+                self.balancer.roster.out[name] = self.clock.from_wall(since)
+                self.log_event("out by hand", server=name, out=len(self.balancer.roster.out))
+        except (OSError, ValueError) as wrong:
+            self.log_event("bad bans", path=path, what=str(wrong))
+
     # The list of servers
 
     def open_watch(self):
@@ -516,4 +545,11 @@
         if host.get("site") is not None:
             server.zone, server.cell = self.zones.get(host["site"], -1), cell
         self.servers[name] = server
+        self.names.pop(name, None)
+        self.names[name] = None
+        if len(self.names) > self.limits.names:
+            # Of those listed the list is the bound; the others go, unless they are out.
+            gone = next((old for old in self.names
+                         if old not in self.servers and old not in self.balancer.roster.out), None)
+            self.names.pop(gone, None)
         return server, phase, weight, self.clock.from_wall(born) if born else None
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -293,6 +293,8 @@
         self.drain_grace = drain_grace
         self.uniform = uniform
         self.servers = {}       # ready ones, in order of name: the same at every proxy
+        self.out = {}           # names of those that are out by hand -> since when
+        self.back = {}          # of those put back -> (since when they were out, until when)
         self.following = False
         self.asked = None
         self.failures = 0
@@ -320,11 +322,17 @@
             wait = min(longest, max(500.0, self.spread / 2) * 2.0 ** min(self.failures, 5))
             self.actions.alarm("follow", now + wait * self.uniform(0.5, 1.0))
             return [], []
-        if kind is not ListKind.CACHED and self.asked is not None:
+        if kind in (ListKind.CHANGES, ListKind.FULL) and self.asked is not None:
             self.following, self.asked, self.failures = True, None, 0
         joined, left, listed = {}, {}, {}
         for server, phase, weight, started in entries:
             listed[server] = None
+            server.listed = phase
+            if phase is Phase.READY and server.name in self.out:
+                phase = Phase.DRAINING
+            since, until = self.back.get(server.name, (-math.inf, None))
+            if started is None and until is not None or started is not None and started < since:
+                started = until         # that it was restarted meanwhile may not be told yet
             restarted = started is not None and (server in self.servers if server.started is None
                                                  else started > server.started)
             # Only a registered size is the same at every proxy; a live weight would tear tables apart.
@@ -343,7 +351,7 @@
                 self.lose(now, server, phase, left)
             else:
                 server.phase = phase
-        if kind is not ListKind.CHANGES:
+        if kind not in (ListKind.CHANGES, ListKind.BY_HAND):
             for server in [server for server in self.servers if server not in listed]:
                 self.lose(now, server, Phase.GONE, left)
         self.servers.update(joined)
@@ -783,6 +791,17 @@
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
 
+    def on_hand(self, now, name, out, server):
+        """A server is left out by hand, or put back, also if it is not listed now (`server` None). It drains
+        as by list, and comes back as one that has just started: it may have, before any list tells so."""
+        held = self.roster.out
+        if out:
+            held.setdefault(name, now)
+        elif name in held:
+            self.roster.back[name] = held.pop(name), now
+        if server is not None and (server.phase is Phase.READY) is out:
+            self.on_list(now, ListKind.BY_HAND, [(server, server.listed, server.weight, server.started)])
+
     def on_session(self, now, sess):
         # Clients that come again pay for nothing: in trouble each comes many times. Packets of open
         # connections pay: a proxy that takes over from another knows little of what it is handed.
