--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -24,23 +24,24 @@
     loop.add_signal_handler(signal.SIGHUP, reload, proxy, log, read)
     loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
     loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
-    try:
-        proxy.door = carrier.listen(proxy.client, node.listen, proxy.room, node.listen_fd)
-    except OSError as wrong:
-        raise Misconfigured(f"listen: {wrong}") from None
-    log("listening", at=":".join(map(str, node.listen)), inherited=node.listen_fd is not None)
     if node.admin:
         from wheathill.net.operators import OperatorsDoor
         door = OperatorsDoor(proxy)
-        try:
-            carrier.listen(door.call, node.admin, door.room)
-        except OSError as wrong:
-            raise Misconfigured(f"admin_addr: {wrong}") from None
+        listen(carrier, "admin_addr", door.call, node.admin, door.room)
         log("operators' door", at=":".join(map(str, node.admin)))
+    proxy.door = listen(carrier, "listen", proxy.client, node.listen, proxy.room, node.listen_fd)
+    log("listening", at=":".join(map(str, node.listen)), inherited=node.listen_fd is not None)
     proxy.start()
     await stopped.wait()
 
 
+def listen(carrier, key, *told):
+    try:
+        return carrier.listen(*told)
+    except OSError as wrong:
+        raise Misconfigured(f"{key}: {wrong}") from None
+
+
 def reload(proxy, log, read):
     """Read and checked whole first: with a faulty file the proxy goes on as it was."""
     try:
