Upgrades: state, sessions and both their descriptors go over to the process beside

Ruled out: moving in parts (as dear), set-up limits, the door, CPU.

The process that hands over accepts again if the other dies first. Also found by its test: two processes wrote bans through one temporary name.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -164,6 +164,14 @@
         self.rig.lines.append(f"{self.name} hears {re.sub(r'd=[0-9]+', 'd=...', text)}")
         return text
 
+    def hear_bytes(self, count):
+        while len(self.rest) < count:
+            self.rest += self.sock.recv(65536)
+
+    def ask(self, text):
+        self.say(text)
+        return self.hear()
+
     def finish(self):
         self.sock.shutdown(socket.SHUT_WR)
 
@@ -178,6 +186,19 @@
     return sock
 
 
+def free_port():
+    """Below those that the system gives to whoever connects: none of these takes it meanwhile."""
+    for port in PORTS:
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+            return port
+        except OSError:
+            pass
+
+
+PORTS = iter(range(10_000 + os.getpid() * 61 % 20_000, 32_000))
+
+
 class Rig:
     """A proxy as a program, with plain sockets in the place of its servers, discovery and clients."""
 
@@ -188,7 +209,7 @@
         self.servers = {name: listener() for name in names}
         self.discovery = listener()
         self.seq = 0
-        self.door = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.door = socket.create_server(("127.0.0.1", free_port()), backlog=128)
         self.address = self.door.getsockname()
         self.inherited = inherited
         if not inherited:
@@ -210,8 +231,7 @@
 
     def begin(self):
         """Starts the program, the second time beside the one that runs; each has a door for operators."""
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.admin = free.getsockname()
+        self.admin = "127.0.0.1", free_port()
         told = {"NODE_CONFIG": str(self.path), "NODE_ADMIN_ADDR": "%s:%d" % self.admin, "TMPDIR": self.folder.name}
         if self.inherited:
             told["NODE_FD"] = str(self.door.fileno())
@@ -249,7 +269,7 @@
         for line in self.process.stdout:
             found = json.loads(line)
             self.seen[found["event"]] += 1
-            if found["event"] == event:
+            if found["event"] in event if isinstance(event, tuple) else found["event"] == event:
                 return found
         raise AssertionError(f"ended without a line {event}")
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,24 +1,32 @@
 """Day-to-day operation: the operators' door, figures, servers out by hand, upgrades."""
 
+import json
 import os
 import pathlib
+import select
 import socket
 import subprocess
 import sys
+import types
 
+import orjson
 import pytest
 
 from drive import Rig, kept
 from test_net import LIMITS, Hand
+from wheathill.config import node_of
+from wheathill.handover.state import VERSION, Told, tell
+from wheathill.model import ListKind, Session
 from wheathill.net import bans
 from wheathill.net.admin import Call, No
 from wheathill.net.operators import OperatorsDoor
+from wheathill.net.proxy import Proxy
 
 
 class Desk:
     """What the door's table leads to."""
 
-    limits, clock, ready, stopping = LIMITS, Hand("clock", []), True, None
+    limits, clock, ready, stopping, handed_over = LIMITS, Hand("clock", []), True, None, False
 
     def metrics(self):
         raise RuntimeError("a fault")
@@ -138,11 +146,12 @@
         rig.watched("a", "b")
         rig.until_logged("ready")
         rig.up("k3", (name, other))
-        os.mkdir(bans_of(rig) + ".new")
+        in_the_way = f"{bans_of(rig)}.{rig.process.pid}"
+        os.mkdir(in_the_way)
         rig.call(say("exit", name))
         rig.call(say("enter", other))
         rig.up("k4", (name, other))
-        os.rmdir(bans_of(rig) + ".new")
+        os.rmdir(in_the_way)
         rig.call(say("exit", name))
         rig.call(say("enter", other))
         rig.up("k5", (name, other))
@@ -155,6 +164,57 @@
     return next(str(path) for path in pathlib.Path(rig.folder.name).glob("*.out"))
 
 
+def balanced(node):
+    """A proxy without sockets, and the drive that stands where its actions go."""
+    proxy = Proxy(node, types.SimpleNamespace(limits=node.limits, sockets=0), Hand("clock", []), lambda *_, **__: None)
+    proxy.balancer.actions = Hand("", [])
+    proxy.now = lambda: 70_000.0
+    return proxy
+
+
+def test_state_goes_over_whole():
+    node = node_of({"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "s",
+                    "settings": {"listeners": [{"name": "any", "repeat": "retryable"}]}})
+    old, new, third = balanced(node), balanced(node), balanced(node)
+    old.clock.from_wall = lambda wall: wall
+    old.listed({"seq": 7, "hosts": [
+        {"host": name, "dial": "h:3", "site": "x", "health": health, "born_ms": born}
+        for name, health, born in (("a", "ready", 0), ("b", "ready", 69_000), ("c", "draining", 0), ("d", "ready", 0))]},
+        ListKind.FULL)
+    old.balancer.on_hand(70_000.0, "d", True, old.servers["d"])
+    for number in range(5):
+        sess = Session(node.listeners[0], f"key {number}", 72_000.0)
+        sess.accepted = 70_000.0
+        old.balancer.on_carried(70_000.0, sess, old.servers["a"])
+        old.ids[f"id {number}"] = sess
+    old.balancer.levels.sample(70_000.0, old.servers["a"], [0.5])
+    old.balancer.health.dialled(70_000.0, old.servers["a"], False)
+    table = old.balancer.table
+    slot = table.current.index(old.servers["b"])
+    table.sessions[slot][sess] = None
+    table.redirect(70_000.0, slot, old.servers["a"])
+    table.place(70_000.0, "moved", slot)
+    parts = [orjson.loads(orjson.dumps(part, default=tuple)) for part in tell(old)]
+
+    def took(proxy, parts):
+        told = Told(1000)
+        for part in parts:
+            told.take(*next(iter(part.items())))
+        told.apply(proxy)
+        return [orjson.loads(orjson.dumps(part, default=tuple)) for part in tell(proxy)]
+
+    assert took(new, parts) == parts
+    assert not new.balancer.roster.may_dial(70_000.0, new.servers["d"], False) and new.seen == 7
+    before = list(tell(third))
+    for at, part in enumerate(parts):       # what is twisted, or lacks a part, changes nothing
+        twisted = json.loads(json.dumps(part).replace("70000.0", '"x"').replace('"a"', "7").replace('"id 0"', "7"))
+        lacking = parts[:at] + parts[at + 1:] if next(iter(part)) in ("servers", "table", "rest") else []
+        for wrong in (lacking, parts[:at] + [twisted] + parts[at + 1:]):
+            with pytest.raises(ValueError):
+                took(third, wrong)
+            assert list(tell(third)) == before
+
+
 @pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"version":9,"out":{}}', b'{"version":1,"out":{"a":"b"}}'])
 def test_bad_bans(tmp_path, text):
     (tmp_path / "file").write_bytes(text)
@@ -162,8 +222,177 @@
         bans.read(str(tmp_path / "file"), 10)
 
 
+class Partner:
+    """The other end of a handover, driven by hand."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.path = f"{rig.folder.name}/" + next(
+            (path.name for path in pathlib.Path(rig.folder.name).glob("*.up")), "")
+        self.sock = socket.socket(socket.AF_UNIX)
+        self.sock.settimeout(8.0)
+        self.rest, self.handles = b"", []
+
+    def say(self, **message):
+        self.sock.sendall(json.dumps(message).encode() + b"\n")
+
+    def hear(self):
+        while b"\n" not in self.rest:
+            data, handles, _, _ = socket.recv_fds(self.sock, 65536, 64)
+            if not data:
+                return "(end)"
+            self.rest += data
+            self.handles += handles
+        line, _, self.rest = self.rest.partition(b"\n")
+        return json.loads(line)
+
+    def take_over(self, name="n0", version=VERSION):
+        """The parts of the state that the running process tells."""
+        self.sock.connect(self.path)
+        self.say(hello=[version, name])
+        parts = []
+        while not parts or parts[-1] not in ("told", "no", "(end)"):
+            parts += [found] if (found := self.hear()) == "(end)" else found
+        return parts
+
+    def close(self):
+        for handle in self.handles:
+            os.close(handle)
+        self.sock.close()
+
+
+def upgrade_in_flight():
+    with Rig(mode="proxy", inherited=True, settings={"obligations": {"drainGraceS": 0.5, "coldS": 0}}) as rig:
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        client, server = rig.up()
+        server.say("half a li", end="")
+        client.hear_bytes(9)
+        waiting = rig.open("k2")
+        dialled = rig.taken(("a", "b"))
+        dialled.hear()
+        silent = rig.client("client without a line")
+        rig.client("client that asks").ask("PING")      # so the one before it was let in
+        old = rig.admin
+        rig.begin_beside()
+        rig.until_logged("took over")
+        rig.until_logged("ready")
+        rig.watched("a", "b")
+        rig.call("GET /status", old)
+        rig.call("GET /status")
+        rig.call("PUT /maintenance/enter?host=b", old)
+        dialled.say("UP r2")
+        waiting.hear()
+        silent.say("OPEN id-k3 k3 c=any,t=t,d=2000")
+        at_old = rig.taken(("a", "b"))
+        at_old.hear()
+        at_old.say("UP r3")
+        silent.hear()
+        rig.old[0].terminate()
+        rig.lines.append(f"old process exits with {rig.old[0].wait(8)}")
+        waiting.hear()
+        dialled.hear()
+        for one, other in ((client, server), (silent, at_old)):
+            one.say("still here")
+            other.hear()
+            other.say("ne, and another" if one is client else "echo")
+            one.hear()
+        rig.open("k2").hear()           # the id of another
+        rig.up("k4")
+        rig.call("GET /status/metrics")
+        rig.begin_beside()              # a second upgrade, at once
+        rig.until_logged("took over")
+        rig.watched("a", "b")
+        client.say("and here")
+        server.hear()
+        return rig.lines
+
+
+def new_process_dies():
+    """Before it says that it took over; with sessions on their way; and asked in turn by one that speaks
+    something else, and by one that says nothing."""
+    with Rig(inherited=True) as rig:
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        client, server = rig.up()
+        for version, name in ((VERSION + 1, "n0"), (VERSION, "n9")):
+            partner = Partner(rig)
+            rig.lines.append(f"version {version - VERSION:+}, {name}: {partner.take_over(name, version)}")
+            partner.close()
+        partner = Partner(rig)
+        rig.lines.append(f"told: {partner.take_over()}")
+        newcomer = rig.open("k2")
+        rig.lines.append(f"taken in meanwhile: {bool(select.select(list(rig.servers.values()), [], [], 0.3)[0])}")
+        partner.close()
+        rig.taken(("a", "b")).hear()
+        client.say("one")
+        server.hear()
+        partner = Partner(rig)
+        partner.take_over()
+        partner.say(took=True)
+        found = partner.hear()
+        while "sessions" not in found:
+            found = partner.hear()
+        rig.lines.append(f"sessions on their way: {len(found['sessions'])}, handles {len(partner.handles)}")
+        rig.until_logged("handed over")
+        partner.close()
+        rig.until_logged("handover undone")
+        client.say("two")
+        server.hear()
+        server.say("three")
+        client.hear()
+        rig.up("k5")
+        partner = Partner(rig)
+        partner.take_over()
+        rig.until_logged("handover undone")     # it says nothing for too long
+        rig.up("k6")
+        rig.call("GET /status")
+        partner.close()
+        newcomer.sock.close()
+        return rig.lines
+
+
+BAD_HANDOVERS = {
+    "dies in the middle": [b'{"servers": [{"na'], "no JSON": [b"what?\n"], "foreign": [b'{"no": "version 9"}\n'],
+    "no state": [b'{"servers": []}\n{"told": true}\n'], "unknown part": [b'{"tables": {}}\n'],
+    "too long": [b'{"ids": ["' + b"x" * 5_000_000], "says nothing": []}
+
+
+def bad_handovers():
+    """The new process starts as from nothing, says so, and keeps who is out by hand."""
+    with Rig(inherited=True) as rig:
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        rig.call("PUT /maintenance/enter?host=a")
+        path = pathlib.Path(next(str(path) for path in pathlib.Path(rig.folder.name).glob("*.up")))
+        for what, pieces in BAD_HANDOVERS.items():
+            rig.process.kill()
+            rig.process.wait()
+            path.unlink()
+            with socket.socket(socket.AF_UNIX) as old:
+                old.bind(str(path))
+                old.listen()
+                rig.begin()
+                partner = Partner(rig)
+                partner.sock = old.accept()[0]
+                try:
+                    for piece in pieces:
+                        partner.sock.sendall(piece)
+                except OSError:
+                    pass
+                if pieces:
+                    partner.sock.shutdown(socket.SHUT_WR)
+                found = rig.until_logged(("no handover", "bad handover"))
+                rig.lines.append(f"{what}: {found['event']}, {found.get('why') or found.get('what')}")
+                rig.watched("a", "b")
+                rig.up(f"k {what}".replace(" ", "-"), ("a", "b"))
+                partner.close()
+        return rig.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    calls_by_bytes, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket)}
+    calls_by_bytes, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket, upgrade_in_flight,
+    new_process_dies, bad_handovers)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -173,6 +173,11 @@
     call_head: int = 8192
     call_headers: int = 64
     call_body: int = 65536
+    handover: float = 1500.0            # each wait between an old and a new process
+    handover_again: float = 50.0        # another upgrade is under way: asked again, for as long as that
+    carried: int = 16                   # sessions that go over at a time
+    carry_every: float = 20.0           # those that come up meanwhile
+    own_sockets: int = 12               # that a process holds beside its connections
 
 
 def buffers(memory_mb, sockets):
@@ -282,7 +287,7 @@
     return Node(
         name=top.text("name", instead.get("name")), **where, seed=top.text("seed"),
         listen_fd=inherited(instead.get("fd"), "NODE_FD"), admin=address(admin, "admin_addr") if admin else None,
-        state=instead.get("state") if admin else None,
+        state=instead.get("state") if admin or instead.get("fd") else None,
         limits=Limits(sockets=sockets, spare_sockets=spare,
                       **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -31,7 +31,11 @@
         log("operators' door", at=":".join(map(str, node.admin)))
     proxy.door = listen(carrier, "listen", proxy.client, node.listen, proxy.room, node.listen_fd)
     log("listening", at=":".join(map(str, node.listen)), inherited=node.listen_fd is not None)
-    proxy.start()
+    if node.listen_fd is not None and node.state:
+        from wheathill.handover.upgrade import Upgrade
+        Upgrade(proxy, carrier, clock, log).begin()
+    else:
+        proxy.start()
     await stopped.wait()
 
 
--- a/wheathill/net/bans.py
+++ b/wheathill/net/bans.py
@@ -16,7 +16,7 @@
 
 def write(path, out):
     """`out`: {name: since when, Unix ms}. Raises OSError; the file is then as it was."""
-    new = path + ".new"
+    new = f"{path}.{os.getpid()}"       # at an upgrade two processes write
     descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_NOFOLLOW | os.O_CLOEXEC, 0o600)
     try:
         with open(descriptor, "wb") as file:
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -73,6 +73,17 @@
             self.asked = self.clock.now()
         self.dial.wire.send(data)
 
+    @property
+    def quiet(self):
+        """Up, with no byte on its way: it may go over to another process."""
+        return self.up and not self.moving and not self.dial.over and self.wire.quiet and self.dial.wire.quiet
+
+    def carried(self):
+        """Nothing is read until both sides are here: it could not be passed on."""
+        if self.wire.open and self.dial.wire.open:
+            self.wire.hold(False)
+            self.dial.wire.hold(False)
+
     def answered(self):
         """The server has sent a line back."""
         if self.asked is not None:
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -1,9 +1,12 @@
 """The only code that touches sockets: carries bytes between a connection and its state machine."""
 
+import array
 import asyncio
+import os
 import select
 import socket
 import struct
+from collections import deque
 
 
 class Carrier:
@@ -16,15 +19,43 @@
         # One is enough: a machine has consumed what came before the next read begins.
         self.buffer = memoryview(bytearray(limits.read))
         self.sockets = 0
+        self.lent = 0           # held by the process that this one takes over from
 
     @property
     def free(self):
-        return self.limits.sockets - self.limits.spare_sockets - self.sockets
+        return self.limits.sockets - self.limits.spare_sockets - self.sockets - self.lent
 
     def listen(self, make_machine, address, room, inherited=None):
         """`inherited`: the descriptor of a socket that listens there already."""
         return Door(self, make_machine, listening(address, inherited, self.limits.backlog), room)
 
+    def adopt(self, handle, machine):
+        """The connection that a descriptor from another process holds; it reads nothing until `hold(False)`."""
+        wire = machine.wire = Wire(self, lambda _: machine)
+        wire.handed = wire.counted = True       # as a descriptor, so far
+        wire.task = self.loop.create_task(wire.take(socket.socket(fileno=handle)))
+        return wire
+
+    def drop(self, handles):
+        for handle in handles:
+            os.close(handle)
+        self.sockets -= len(handles)
+
+    def meet(self, folder, name, make_machine):
+        """Listens for other processes on this machine."""
+        return MeetingPlace(self, folder, name, make_machine)
+
+    def reach(self, folder, name, make_machine):
+        """Raises OSError where nobody listens there."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            with Folder(folder) as near:
+                sock.connect(near(name))
+        except OSError:
+            sock.close()
+            raise
+        return Post(self, sock, make_machine)
+
     def connect(self, machine, address):
         wire = Wire(self, lambda _: machine)
         # Counted from the start: a connection that is being set up holds a descriptor.
@@ -91,6 +122,53 @@
         self.later = self.carrier.loop.call_later(self.carrier.limits.accept_pause / 1000, self.hold, False)
 
 
+class Folder:
+    """Paths of Unix sockets are short: what stands in a folder is named by the folder's descriptor."""
+
+    def __init__(self, path):
+        self.path = path
+
+    def __enter__(self):
+        self.descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        return lambda name: f"/proc/self/fd/{self.descriptor}/{name}"
+
+    def __exit__(self, *_):
+        os.close(self.descriptor)
+
+
+class MeetingPlace:
+    """A listening Unix socket under a name; one that stood there before is replaced in one step."""
+
+    def __init__(self, carrier, folder, name, make_machine):
+        self.carrier = carrier
+        self.make_machine = make_machine
+        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            with Folder(folder) as near:
+                if os.path.lexists(near(name + ".new")):
+                    os.unlink(near(name + ".new"))
+                self.sock.bind(near(name + ".new"))
+                os.chmod(near(name + ".new"), 0o600)
+                self.sock.listen(4)
+                os.rename(near(name + ".new"), near(name))
+        except OSError:
+            self.sock.close()
+            raise
+        carrier.loop.add_reader(self.sock, self.accept)
+
+    def accept(self):
+        try:
+            sock, _ = self.sock.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        Post(self.carrier, sock, self.make_machine)
+
+    def close(self):
+        self.carrier.loop.remove_reader(self.sock)
+        self.sock.close()
+
+
 class Guarded:
     """What every wire does with its machine, on sockets and in the lab."""
 
@@ -116,6 +194,7 @@
         self.thrown_away = 0        # bytes that came after that
         self.over = False
         self.counted = False
+        self.handed = False         # by another process
 
     async def take(self, sock):
         try:
@@ -123,6 +202,8 @@
         except OSError:
             sock.close()
             self.count(False)
+            if self.handed:
+                self.tell_lost(False)
 
     async def connect(self, address):
         try:
@@ -149,7 +230,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, seconds // 3))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
-        self.guard(self.machine.connected)
+        if self.handed:
+            transport.pause_reading()
+            self.guard(self.machine.carried)
+        else:
+            self.guard(self.machine.connected)
 
     def get_buffer(self, _hint):
         return self.carrier.buffer
@@ -197,6 +282,18 @@
     def open(self):
         return self.transport is not None and not self.over and not self.parted
 
+    @property
+    def quiet(self):
+        """Open both ways, with no byte on its way through this process."""
+        return self.open and not self.finished and not self.ended and not self.full and self.drained
+
+    def copy(self):
+        """Another descriptor of the same connection, for another process. Raises OSError. Once this one is
+        aborted the peer notices nothing, if the wire was quiet."""
+        handle = os.dup(self.transport.get_extra_info("socket").fileno())
+        self.carrier.sockets += 1
+        return handle
+
     @property
     def unread(self):
         poll = select.poll()
@@ -253,6 +350,75 @@
         self.transport.abort()
 
 
+class Post(Guarded):
+    """A Unix socket to another process of the same user: bytes, and descriptors with them, which no transport
+    of asyncio's can receive."""
+
+    MOST_HANDLES = 64       # that come with one read
+    READ = 65536
+
+    def __init__(self, carrier, sock, make_machine):
+        self.carrier = carrier
+        self.sock = sock
+        self.unsent = deque()       # [bytes, handles]
+        self.over = False
+        self.machine = make_machine(self)
+        peer = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+        if struct.unpack("3i", peer)[1] != os.geteuid():
+            return self.close()
+        carrier.loop.add_reader(sock, self.readable)
+        self.guard(self.machine.connected)
+
+    def readable(self):
+        room = socket.CMSG_SPACE(self.MOST_HANDLES * array.array("i").itemsize)
+        try:
+            data, extra, flags, _ = self.sock.recvmsg(self.READ, room, socket.MSG_CMSG_CLOEXEC)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data, extra, flags = b"", (), 0
+        handles = array.array("i")
+        for level, kind, found in extra:
+            if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+                handles.frombytes(found[:len(found) - len(found) % handles.itemsize])
+        self.carrier.sockets += len(handles)
+        if flags & socket.MSG_CTRUNC or not data:
+            self.carrier.drop(handles)
+            self.close()
+            return self.guard(self.machine.lost, False)
+        self.guard(self.machine.received, data, list(handles))
+
+    def send(self, data, handles=()):
+        if not self.over:
+            self.unsent.append([data, list(handles)])
+            self.writable()
+
+    def writable(self):
+        while self.unsent:
+            data, handles = self.unsent[0]
+            rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", handles))] if handles else []
+            try:
+                sent = self.sock.sendmsg([data], rights)
+            except (BlockingIOError, InterruptedError):
+                return self.carrier.loop.add_writer(self.sock, self.writable)
+            except OSError:
+                # Found out by the reader, which tells the machine.
+                self.unsent.clear()
+                break
+            if sent == len(data):
+                self.unsent.popleft()
+            else:
+                self.unsent[0] = [data[sent:], ()]
+        self.carrier.loop.remove_writer(self.sock)
+
+    def close(self):
+        if not self.over:
+            self.over = True
+            self.carrier.loop.remove_reader(self.sock)
+            self.carrier.loop.remove_writer(self.sock)
+            self.sock.close()
+
+
 def tell_fault(log, call, wrong):
     log("fault", where=getattr(call, "__qualname__", str(call)), what=repr(wrong), line=fault_line(wrong))
 
--- a/wheathill/net/machine.py
+++ b/wheathill/net/machine.py
@@ -3,6 +3,14 @@
 from wheathill.net.lines import Lines
 
 
+class NoTimer:
+    """Stands where none was set."""
+
+    @staticmethod
+    def cancel():
+        pass
+
+
 class Machine:
     """Fed by a wire, of which it knows only `send`, `finish`, `part`, `abort` and `hold`; tells `door` what
     it found. Has one timer at a time."""
@@ -13,16 +21,18 @@
         self.clock = clock
         self.lines = Lines(limits.line)
         self.wire = None
-        self.timer = None
+        self.timer = NoTimer
 
     def set_timer(self, wait, call, *args):
-        if self.timer:
-            self.timer.cancel()
+        self.timer.cancel()
         self.timer = self.clock.after(wait, call, *args)
 
     def connected(self):
         """The connection is up."""
 
+    def carried(self):
+        """A connection that another process held is up here; nothing is read yet."""
+
     def received(self, data):
         """Bytes came, which are only good until this returns."""
 
--- a/wheathill/net/operators.py
+++ b/wheathill/net/operators.py
@@ -49,11 +49,14 @@
         return found[0]
 
     def status(self):
-        if not self.proxy.ready:
-            raise No(503, "stopping" if self.proxy.stopping is not None else "starting")
+        if not self.proxy.ready or self.proxy.handed_over:
+            raise No(503, "stopping" if self.proxy.stopping is not None else
+                     "handed over to another process" if self.proxy.handed_over else "starting")
         return {"status": "ready"}
 
     def hand(self, out, name):
+        if not self.proxy.names:
+            raise No(503, "starting")
         if name not in self.proxy.names:
             raise No(404, f"{name!r} was never listed here")
         try:
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -13,7 +13,7 @@
 from wheathill.net.client import Client
 from wheathill.net.discovery import Watch
 from wheathill.net.figures import Figures
-from wheathill.net.lines import Malformed, report
+from wheathill.net.lines import Head, Malformed, report
 from wheathill.net.server import Dialled, ProbeLink
 from wheathill.policy import Balancer
 
@@ -29,6 +29,8 @@
         self.carrier = carrier
         self.figures = Figures()
         self.door = None        # where clients are taken in
+        self.upgrade = None     # where another process may take over, or has
+        self.handed_over = False
         self.take(node)
         self.started_with = node.told
         self.clock = clock
@@ -78,14 +80,15 @@
             self.leave_watch()
             self.open_watch()
 
-    def start(self):
+    def start(self, taken=False):
+        """`taken`: the list and all else are those of the process before."""
         self.balancer.on_start(self.now())
         self.read_bans()
-        if self.node.known:
+        if self.node.known and not taken:
             self.listed(self.node.known, ListKind.CACHED if self.node.discovery else ListKind.FULL)
         if self.node.discovery:
             self.open_watch()
-        self.clock.after(self.limits.list_wait, self.get_ready)
+        self.clock.after(0.0 if taken else self.limits.list_wait, self.get_ready)
         self.clock.after(self.limits.sweep, self.sweep)
         self.clock.after(self.limits.figures, self.log_figures)
 
@@ -100,11 +103,13 @@
             self.stopping = self.now()
             self.ready = False
             self.log_event("stopping", sessions=len(self.clients))
-            if self.node.listen_fd is not None:
+            if self.node.listen_fd is not None and self.door:
                 # Others listen on the same socket: whoever waits there is theirs.
                 self.door.close()
-            self.clock.after(self.limits.newcomers, self.wait_for_end, stopped)
-            self.balancer.on_stop(self.stopping, False)
+            self.clock.after(self.limits.sweep if self.handed_over else self.limits.newcomers,
+                             self.wait_for_end, stopped)
+            if not self.handed_over:
+                self.balancer.on_stop(self.stopping, False)
 
     def wait_for_end(self, stopped):
         now = self.now()
@@ -113,8 +118,10 @@
         most = self.limits.longest_dial + self.limits.stop_margin if self.node.moves_at_stop \
             else self.limits.stop_hold
         last = now >= self.stopping + most
-        self.balancer.on_stop(now, last)
-        if last or not self.clients:
+        if last or not self.handed_over:
+            self.balancer.on_stop(now, last)
+        # Who is let in and has said nothing yet is still served here, by one that was taken over from too.
+        if last or not self.clients and not (self.handed_over and self.silent):
             self.log_event("stopped", sessions=len(self.clients), since_start=self.figures.since_start())
             # The last MOVE lines are on their way: an end too soon would overtake them.
             self.clock.after(self.limits.stop_linger, stopped)
@@ -317,6 +324,49 @@
         else:
             self.clock.after(self.limits.sweep, self.stand, client, sess)
 
+    # Sessions of another process of this proxy, and for it
+
+    def hand_over(self, sess, client):
+        """Descriptors of both its connections, which this process lets go of; none where it has none left."""
+        try:
+            handles = [client.wire.copy()]
+            try:
+                handles.append(client.dial.wire.copy())
+            except OSError:
+                self.carrier.drop(handles)
+                raise
+        except OSError:
+            return []
+        client.dial.over = True
+        client.timer.cancel()
+        client.dial.timer.cancel()
+        client.wire.abort()
+        client.dial.wire.abort()
+        self.over(sess, "handed over")
+        self.balancer.on_hang_up(self.now(), sess)
+        return handles
+
+    def carry(self, line, sess, handles, came, asked, server, rest):
+        """Goes on where the other process stopped. Raises ValueError with nothing taken."""
+        if server not in self.servers:
+            raise ValueError(f"a session at {server!r}, which is not known")
+        try:
+            head = Head(line)
+        except Malformed as wrong:
+            raise ValueError(str(wrong)) from None
+        client = Client(None, self, self.limits, self.clock)
+        client.dial = dial = Dialled(client, self.servers[server], self, self.limits, self.clock)
+        client.head, client.listener, client.sess = head, sess.listener, sess
+        client.came, client.asked = came, asked
+        client.up = dial.up = dial.sent = True
+        dial.rest = rest
+        self.clients[sess] = client
+        self.ids[head.id] = sess
+        self.figures.know([sess.listener.name])
+        self.balancer.on_carried(self.now(), sess, dial.server)
+        for machine, handle in zip((client, dial), handles):
+            self.carrier.adopt(handle, machine)
+
     # Dials
 
     def connect(self, client, server, time_out):
@@ -447,8 +497,9 @@
 
     # Servers out by hand
 
-    def by_hand(self, name, out):
-        """Kept first, then in force: whether it outlives this process. Raises OSError with nothing changed."""
+    def by_hand(self, name, out, told=None):
+        """Kept first, then in force: whether it outlives this process. Raises OSError with nothing changed.
+        `told`: the other process that said so."""
         held = dict(self.balancer.roster.out)
         if out:
             held.setdefault(name, self.now())
@@ -459,6 +510,8 @@
             bans.write(path, {other: self.clock.to_wall(since) for other, since in held.items()})
         self.log_event("out by hand" if out else "put back", server=name, out=len(held))
         self.balancer.on_hand(self.now(), name, out, self.servers.get(name))
+        if self.upgrade:
+            self.upgrade.hand(name, out, told)
         return path is not None
 
     def read_bans(self):
@@ -466,7 +519,7 @@
         try:
             for name, since in bans.read(path, self.limits.names).items() if path else ():
                 self.names[name] = None
-                self.balancer.roster.out[name] = self.clock.from_wall(since)
+                self.balancer.roster.out.setdefault(name, self.clock.from_wall(since))
                 self.log_event("out by hand", server=name, out=len(self.balancer.roster.out))
         except (OSError, ValueError) as wrong:
             self.log_event("bad bans", path=path, what=str(wrong))
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -38,6 +38,9 @@
         if self.wire.drained:
             self.line_left()
 
+    def carried(self):
+        self.client.carried()
+
     def line_left(self):
         if not self.sent:
             self.sent = True
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -115,6 +115,15 @@
                 seen[server] = None
                 yield server
 
+    def stand(self, servers, slots, opened, known):
+        """As another process of this proxy left it."""
+        for server in servers:
+            self.weigh(server)
+        self.home, self.current, self.new = slots["home"], slots["current"], slots["new"]
+        self.lowest = [home.draws[slot] / home.pull if home else math.inf
+                       for slot, home in enumerate(self.home)]
+        self.opened, self.moved, self.exceptions = opened, known["moved"], known["exceptions"]
+
     def update(self, now, joined, left, live):
         # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
         for server in joined:
@@ -815,6 +824,14 @@
         sess.dials.append(Dial(server, now))
         self.dialling.accepted(now, sess)
 
+    def on_carried(self, now, sess, server):
+        """A session that another process of this proxy set up."""
+        sess.slot = self.table.slot(sess)
+        sess.server = server
+        sess.dials.append(Dial(server, sess.accepted))
+        server.sessions[sess] = None
+        self.table.accepted(now, sess)
+
     def on_accepted(self, now, sess):
         self.dialling.accepted(now, sess)
 
