--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -31,6 +31,7 @@
         self.door = None        # where clients are taken in
         self.upgrade = None     # where another process may take over, or has
         self.handed_over = False
+        self.swept = self.worst_delay = 0.0     # when a sweep was due; the longest that one was late since it was logged
         self.take(node)
         self.started_with = node.told
         self.clock = clock
@@ -89,6 +90,7 @@
         if self.node.discovery:
             self.open_watch()
         self.clock.after(0.0 if taken else self.limits.list_wait, self.get_ready)
+        self.swept = self.now() + self.limits.sweep
         self.clock.after(self.limits.sweep, self.sweep)
         self.clock.after(self.limits.figures, self.log_figures)
 
@@ -130,7 +132,9 @@
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
-        self.log_event("figures", **self.beliefs(), since_start=self.figures.since_start())
+        self.log_event("figures", **self.beliefs(), worst_delay=round(self.worst_delay, 1),
+                       since_start=self.figures.since_start())
+        self.worst_delay = 0.0
 
     def metrics(self):
         """What operators are told; the counts are those of the log."""
@@ -298,6 +302,8 @@
     def sweep(self):
         self.clock.after(self.limits.sweep, self.sweep)
         now = self.now()
+        self.worst_delay = max(self.worst_delay, now - self.swept)
+        self.swept = now + self.limits.sweep
         for client in list(self.clients.values()):
             # Who reads nothing itself can't be brought an answer. One may end others of the same server.
             if client.sess is not None and client.asked is not None and not client.wire.full \
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -13,8 +13,7 @@
 import sys
 from array import array
 from collections import Counter, deque
-from itertools import chain, repeat
-from operator import truediv
+from itertools import chain
 from statistics import fmean, median
 
 from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
@@ -135,11 +134,15 @@
         """Give joiners the slots that the highest hash gives them, about the mean count, whatever
         was shifted meanwhile: every proxy with the same list then arrives at the same slots. Only the
         joiners are compared with what stands: hundreds of servers are listed at once at the start."""
-        scaled = [map(truediv, server.draws, repeat(server.pull)) for server in joined]
-        for slot, scores in enumerate(zip(*scaled)):
-            score = min(scores)
-            if score < self.lowest[slot]:
-                self.home[slot], self.lowest[slot] = joined[scores.index(score)], score
+        # Those of one weight are compared by their draws as they stand: thousands took the loop for a second.
+        alike = {}
+        for server in joined:
+            alike.setdefault(server.pull, []).append(server)
+        for pull, servers in alike.items():
+            for slot, draws in enumerate(zip(*[server.draws for server in servers])):
+                draw = min(draws)
+                if draw / pull < self.lowest[slot]:
+                    self.home[slot], self.lowest[slot] = servers[draws.index(draw)], draw / pull
         joined = dict.fromkeys(joined)
         for slot, server in enumerate(self.home):
             if server in joined and self.current[slot] is not server:
