Two processes of a proxy in the lab's virtual world; scripts for upgrades, bans and a herd

The platform's socket, the Unix socket and connections that go over stand in wheathill/lab/beside.py; judges see both processes as one proxy, and rule 3 counts operators' calls.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tomllib
+from collections import Counter
 
 import pytest
 
@@ -12,6 +13,10 @@
 from wheathill.lab import script as scripts
 from wheathill.lab.mutants import MUTANTS
 from wheathill.lab.run import play
+from wheathill.lab.scene import Scene
+from wheathill.lab.world import VirtualWorld
+from wheathill.net.client import Client
+from wheathill.net.proxy import Proxy
 
 MUTANTS_SCRIPT = "tests/scripts/mutants.toml"
 EXPERIMENTS = sorted(name for name in os.listdir("experiments") if name.endswith(".toml"))
@@ -152,6 +157,68 @@
     assert result.figures["handshake_ms"]["p100"] < 2000
 
 
+@pytest.mark.parametrize("name", ["overload", "fickle-clients", "back-cold", "upgrade"])
+def test_figures_are_true(name):
+    """Each second, against what clients and gateways wrote down: what is on its way may be missing."""
+    script, seed = scripts.read(f"experiments/{name}.toml"), 1
+    world = VirtualWorld(seed, {"same": 0.25, "cross": 4.0, "client": 0.7, "jitter": 0.2, "hop": 0.2})
+    scene = Scene(script, seed, world)
+    listener, of, seen, left, worst, checks = {}, {}, Counter(), Counter(), Counter(), []
+
+    def watch(now, kind, fields):
+        seat = scene.seats.get(fields.get("proxy"))
+        process = of.get(fields.get("sess"))
+        if kind == "open":
+            listener[fields["sess"]] = fields["listener"]
+            # The process that accepts now is the one that takes it, but for what is on its way.
+            of[fields["sess"]] = seat.proxy
+        elif kind == "answer" and process:
+            result = {"UP": "completed", "BUSY": "rejected"}.get(fields["word"], "failed")
+            seen[process, listener[fields["sess"]], result] += 1
+        elif kind == "left" and fields["how"] == "changed its mind":
+            left[process, listener[fields["sess"]]] += 1
+        elif kind == "dial" and process:
+            seen[process, "dials"] += 1
+
+    def check():
+        world.clock.after(1000.0, check)
+        for name, seat in scene.seats.items():
+            figures = seat.proxy.metrics()
+            checks.append(name)
+            for who, results in figures["downstream_requests"].items():
+                for result, count in results.items():
+                    # What ended after its client had left may stand under any count or none.
+                    apart = count - seen[seat.proxy, who, result]
+                    worst[result] = max(worst[result], -apart, apart - left[seat.proxy, who])
+            worst["dials"] = max(worst["dials"], abs(figures["upstream_requests"] - seen[seat.proxy, "dials"]))
+            unusable = [server for server in seat.proxy.balancer.roster.servers
+                        if server.name in seat.proxy.left_out(world.clock.now())]
+            assert figures["members_unavailable"] >= len(unusable)
+
+    scene.record.watchers.append(watch)
+    world.clock.after(1000.0, check)
+    scene.play()
+    assert len(checks) >= 2 * 28 and sum(seen.values()) > 500
+    assert max(worst.values()) <= 3
+
+
+def test_without_its_part_a_script_shows_it(monkeypatch):
+    """The judge names a proxy that forgets its operators' calls; sessions that don't go over are cut."""
+    class Deaf(Proxy):
+        def by_hand(self, name, out, told=None):
+            pass
+    found = play(scripts.read("experiments/out-by-hand.toml"), proxy=Deaf).breaches
+    assert any(breach.rule == 3 for breach in found)
+
+    def cut(before):
+        script = scripts.read("experiments/upgrade.toml", [("proxies.packets_pass", True)])
+        return sum(kind == "cut" and now < before
+                   for now, kind, _ in play(script).scene.record.events)
+    assert cut(22_000.0) == 0
+    monkeypatch.setattr(Client, "quiet", False)
+    assert cut(22_000.0) > 50
+
+
 @pytest.mark.parametrize("name", EXPERIMENTS)
 def test_experiments_break_no_rule(name):
     script = scripts.read(f"experiments/{name}")
@@ -169,7 +236,7 @@
     ("factor = 1.5", "", "event[4].factor: is missing"),
     ('do = "drain"', 'do = "back"', "event[0]: nothing has befallen g1 before"),
     ('do = "drain"', 'do = "drian"', "event[0].do: invalid enum value 'drian', expected one of silent, pause, kill, "
-     "back, erring, slow, drain, list-lies, proxy-kill, proxy-roll, proxy-pause, proxy-reload, store-slower, herd, "
+     "back, erring, slow, drain, list-lies, by-hand, proxy-kill, proxy-roll, proxy-pause, proxy-reload, proxy-upgrade, store-slower, herd, "
      "list-unreachable, list-torn, list-restarted, list-moved, costly, partition, cut"),
     ('listener = "orders"', 'listener = "odd"', "clients[0].listener: 'odd' is none of orders, reads"),
     ('name = "b"', 'name = "a"', "clients: 'a' stands twice")])
--- /dev/null
+++ b/wheathill/lab/beside.py
@@ -0,0 +1,150 @@
+"""Two processes of one proxy in the virtual world: the clients' socket that the platform holds, the Unix
+socket between them, and connections that go over from one to the other."""
+
+from wheathill.config import Limits
+from wheathill.lab.world import Door, VirtualCarrier, VirtualHost
+from wheathill.net.driver import Guarded
+
+
+class HeldDoor(Door):
+    """Belongs to no process: who connects waits here until one that accepts has room."""
+
+    def __init__(self, net, name, zone, address, limits):
+        host = VirtualHost(net, name, zone)
+        super().__init__(VirtualCarrier(host, limits, None), None, address, None)
+        self.views = []
+
+    def accept(self):
+        self.due = False
+        for _ in range(self.carrier.limits.accepts):
+            view = next((view for view in self.views if view.accepts), None)
+            if not self.backlog or view is None:
+                return
+            if not view.room():
+                return self.look(self.carrier.limits.accept_pause)
+            wire = self.backlog.popleft()
+            if not wire.gone:
+                rehome(wire, view.carrier)
+                wire.accepted(view.make_machine)
+        if self.backlog:
+            self.look()
+
+
+class View:
+    """The held socket as one process has it."""
+
+    def __init__(self, held, carrier, make_machine, room):
+        self.held, self.carrier, self.make_machine, self.room = held, carrier, make_machine, room
+        self.on = True
+        held.views.append(self)
+
+    @property
+    def accepts(self):
+        return self.on and self.carrier.host.alive and not self.carrier.host.paused
+
+    def hold(self, on):
+        self.on = not on
+        self.held.look()
+
+    def close(self):
+        self.on = False
+
+
+def rehome(wire, carrier):
+    wire.host.wires.pop(wire, None)
+    wire.carrier, wire.host, wire.life = carrier, carrier.host, carrier.host.life
+    wire.host.wires[wire] = None
+
+
+class ProcessCarrier(VirtualCarrier):
+    """Of a process that another may be started beside. A handle is the wire itself."""
+
+    def __init__(self, host, limits, log, held, places):
+        super().__init__(host, limits, log)
+        self.held = held
+        self.places = places        # name -> MeetingPlace, of the folder that the processes share
+        self.lent = 0
+
+    @property
+    def free(self):
+        return super().free - self.lent
+
+    def open_door(self, make_machine, room):
+        return View(self.held, self, make_machine, room)
+
+    def adopt(self, wire, machine):
+        rehome(wire, self)
+        wire.machine, machine.wire = machine, wire
+        wire.copied, wire.over, wire.held, wire.counted = False, wire.gone, True, True
+        self.host.clock.soon(self.adopted, wire)
+        return wire
+
+    @staticmethod
+    def adopted(wire):
+        """As on sockets, not within the call that adopts it."""
+        if wire.gone:
+            wire.count(False)
+            wire.guard(wire.machine.lost, True)
+        else:
+            wire.guard(wire.machine.carried)
+
+    def drop(self, handles):
+        self.sockets -= len(handles)
+        for wire in handles:
+            if wire.copied:
+                wire.close()
+
+    def meet(self, folder, name, make_machine):
+        return MeetingPlace(self, name, make_machine)
+
+    def reach(self, folder, name, make_machine):
+        place = self.places.get(name)
+        if place is None or not place.carrier.host.alive:
+            raise FileNotFoundError(2, "nobody is there")
+        near, far = VirtualPost(self), VirtualPost(place.carrier)
+        near.peer, far.peer = far, near
+        far.machine, near.machine = place.make_machine(far), make_machine(near)
+        far.guard(far.machine.connected)
+        near.guard(near.machine.connected)
+        return near
+
+
+class MeetingPlace:
+    def __init__(self, carrier, name, make_machine):
+        self.carrier, self.name, self.make_machine = carrier, name, make_machine
+        carrier.places[name] = self
+
+    def close(self):
+        if self.carrier.places.get(self.name) is self:
+            del self.carrier.places[self.name]
+
+
+class VirtualPost(Guarded):
+    def __init__(self, carrier):
+        self.carrier = carrier
+        self.over = False
+        carrier.host.posts.append(self)
+
+    def send(self, data, handles=()):
+        if not self.over:
+            self.peer.carrier.host.clock.soon(self.peer.arrive, data, list(handles))
+
+    def arrive(self, data, handles):
+        self.carrier.sockets += len(handles)
+        if self.over:
+            self.carrier.drop(handles)
+        else:
+            self.guard(self.machine.received, data, handles)
+
+    def close(self):
+        if not self.over:
+            self.over = True
+            self.peer.carrier.host.clock.soon(self.peer.lose)
+
+    def lose(self):
+        if not self.over:
+            self.over = True
+            self.guard(self.machine.lost, False)
+
+
+PLATFORM = Limits(sockets=1_000_000, connect=1000.0, longest_dial=1000.0, idle=1000.0)
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -233,10 +233,17 @@
         self.grace = grace
         self.proxies = {}       # session -> its proxy
         self.told = {}          # (proxy, server) -> when
+        self.held = {}          # the same, by an operator's call
 
     def on_open(self, now, sess, proxy, mid, **_):
         self.proxies[sess] = proxy
 
+    def on_out_by_hand(self, now, proxy, server):
+        self.held.setdefault((proxy, server), now)
+
+    def on_put_back(self, now, proxy, server):
+        self.held.pop((proxy, server), None)
+
     def on_told(self, now, proxy, server, health):
         self.told.setdefault((proxy, server), now)
 
@@ -247,7 +254,7 @@
 
     def on_dial(self, now, sess, server, first):
         proxy = self.proxies.get(sess)
-        told = self.told.get((proxy, server))
+        told = min(filter(None, (self.told.get((proxy, server)), self.held.get((proxy, server)))), default=None)
         if told is not None and first > told + self.grace + self.slack:
             self.breach(now, f"{proxy} dialled it {first - told:.0f} ms after it was told that it leaves",
                         sess, server)
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -83,7 +83,9 @@
         for name, zone in peers:
             host = world.host(f"agent-{name}", zone, self.limits)
             agent = self.agents[name] = Agent(name, self.registry, host, self.limits, self.dial)
-            self.seats[name] = world.proxy(name, zone, self.node_values(name, zone, agent), record.log(name))
+            held = any(event.do == "proxy-upgrade" for event in script.event)
+            self.seats[name] = world.proxy(name, zone, self.node_values(name, zone, agent), record.log(name),
+                                           *[held] * held)
         self.people = world.host("clients", None, self.limits)
         self.crowds = []
         listeners = {item.name: item for item in script.listener}
@@ -330,6 +332,31 @@
     def do_proxy_roll(self, event, on):
         self.roll(on)
 
+    def do_proxy_upgrade(self, event, on):
+        """Another process beside the running one, which is then told to stop."""
+        seat, agent = self.seats[on], self.agents[on]
+        seat.values = {**seat.values, "known": agent.known(), "seed": f"{self.seed}/{on}/{seat.starts}"}
+        seat.upgrade(max(item.dial_timeout_ms for item in self.script.listener))
+
+    def do_by_hand(self, event, on):
+        """Left out by a call at every proxy's door, restarted after `leaves_s`, and put back."""
+        for name, seat in self.seats.items():
+            self.record.note("out by hand", proxy=name, server=on)
+            seat.proxy.by_hand(on, True)
+        gateway = self.gateways[on]
+
+        def restart():
+            self.record.note("host", name=on, state="killed")
+            gateway.host.kill()
+            self.come_back(on)
+
+        def put_back():
+            for name, seat in self.seats.items():
+                self.record.note("put back", proxy=name, server=on)
+                seat.proxy.by_hand(on, False)
+        self.clock.after(event.leaves_s * 1000, restart)
+        return put_back
+
     def do_proxy_pause(self, event, on):
         self.record.note("host", name=on, state="paused")
         self.seats[on].pause()
--- a/wheathill/lab/script.py
+++ b/wheathill/lab/script.py
@@ -11,8 +11,8 @@
 Times = Annotated[float, Meta(gt=0, le=1000)]
 Many = Annotated[int, Meta(ge=1, le=100_000)]
 
-ON_GATEWAY = ("silent", "pause", "kill", "back", "erring", "slow", "drain", "list-lies")
-ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload")
+ON_GATEWAY = ("silent", "pause", "kill", "back", "erring", "slow", "drain", "list-lies", "by-hand")
+ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload", "proxy-upgrade")
 ON_ALL = ("store-slower", "herd", "list-unreachable", "list-torn", "list-restarted", "list-moved", "costly",
           "partition", "cut")
 NEEDS_FACTOR = ("slow", "store-slower", "costly")
--- a/wheathill/lab/world.py
+++ b/wheathill/lab/world.py
@@ -8,6 +8,7 @@
 
 import random
 from collections import deque
+from dataclasses import replace
 from heapq import heappop, heappush
 
 from wheathill.config import node_of
@@ -137,6 +138,7 @@
         self.net = net
         self.wires = {}
         self.doors = {}         # address -> Door
+        self.posts = []         # to other processes of the same machine
         self.carrier = None
 
     @property
@@ -163,6 +165,8 @@
         self.wires.clear()
         for door in list(self.doors.values()):
             door.close()
+        for post in self.posts:
+            post.close()
         self.end()
 
     def vanish(self):
@@ -352,6 +356,7 @@
         self.parted = False
         self.over = False
         self.held = False
+        self.copied = False         # another process is to have it
         self.counted = False
         self.inbox = deque()        # bytes, or None for the end, that were not read yet
         self.unsent = deque()
@@ -429,7 +434,8 @@
     def take_reset(self):
         if not self.gone:
             self.leave()
-            self.tell_lost(True)
+            if self.machine is not None:        # on its way to another process: that one is told
+                self.tell_lost(True)
 
     def tell_lost(self, reset):
         if not self.over and not self.parted:
@@ -489,6 +495,9 @@
         if self.over:
             return
         self.over = True
+        if self.copied:
+            self.machine = None
+            return self.count(False)
         if not self.up:
             self.gone = True
             return self.count(False)
@@ -527,6 +536,16 @@
             if not on and self.inbox:
                 self.host.clock.soon(self.read)
 
+    @property
+    def quiet(self):
+        return self.open and not self.gone and not self.finished and not self.ended and not self.full \
+            and self.drained and not self.inbox
+
+    def copy(self):
+        self.copied = True
+        self.carrier.sockets += 1
+        return self
+
     @property
     def reached(self):
         return self.up
@@ -585,6 +604,50 @@
         self.host.resume()
 
 
+class HeldSeat(Seat):
+    """Of a proxy whose clients' socket the platform holds: a second process may be started beside."""
+
+    def __init__(self, world, name, zone, values, log):
+        from wheathill.lab import beside
+        super().__init__(world, name, zone, values, log)
+        self.beside = beside
+        self.door = beside.HeldDoor(world.net, name, zone, self.where, beside.PLATFORM)
+        self.places = {}
+        self.old = None             # (host, proxy) that was taken over from
+
+    def start(self):
+        from wheathill.handover.upgrade import Upgrade
+        self.starts += 1
+        node = replace(node_of(self.values), listen_fd=3, state="")
+        self.host.begin()
+        carrier = self.beside.ProcessCarrier(self.host, node.limits, self.log, self.door, self.places)
+        self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
+        self.proxy.door = carrier.open_door(self.proxy.client, self.proxy.room)
+        Upgrade(self.proxy, carrier, self.host.clock, self.log).begin()
+
+    def upgrade(self, longest):
+        """The second process beside; at its yes the first is told to stop, and killed when it had its time."""
+        self.old = self.host, self.proxy
+        self.host = VirtualHost(self.world.net, self.name, self.zone)
+        self.start()
+        self.wait_for_yes(*self.old, longest)
+
+    def wait_for_yes(self, host, proxy, longest):
+        clock = self.world.clock
+        if not self.running:
+            return
+        if not self.proxy.ready:
+            return clock.after(20.0, self.wait_for_yes, host, proxy, longest)
+        if host.alive:
+            host.clock.soon(proxy.stop, host.kill)
+            clock.after(longest + 700.0, host.kill)
+
+    def kill(self):
+        if self.old:
+            self.old[0].kill()
+        super().kill()
+
+
 def raise_fault(event, **fields):
     """A stand-in's own fault ends the run: a lab that goes on wrongly proves nothing."""
     raise AssertionError(f"{event} in a stand-in: {fields}")
@@ -615,8 +678,8 @@
     def proxy_address(name):
         return f"{name}.lab:9000"
 
-    def proxy(self, name, zone, values, log):
-        return Seat(self, name, zone, values, log)
+    def proxy(self, name, zone, values, log, held=False):
+        return (HeldSeat if held else Seat)(self, name, zone, values, log)
 
     def slack(self, script):
         """One way and back between the farthest, and the jitter that is seldom passed."""
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -518,7 +518,7 @@
         self.balancer.on_hand(self.now(), name, out, self.servers.get(name))
         if self.upgrade:
             self.upgrade.hand(name, out, told)
-        return path is not None
+        return bool(path)
 
     def read_bans(self):
         path = bans.path_of(self.node)
