--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import re
 import select
 import socket
 import subprocess
@@ -390,8 +391,24 @@
         return rig.lines
 
 
+def calls_of_the_page():
+    """What the page for staff on call says, line by line."""
+    page = pathlib.Path("docs/operations.md").read_text()
+    calls = re.findall(r"^    curl -s (?:-X (PUT) )?'?localhost:9600(\S+?)'? +# (200) ?(\{.*?\})?", page, re.MULTILINE)
+    with Rig(names=("s-1", "s-2")) as rig:
+        rig.watched("s-1", "s-2")
+        rig.until_logged("ready")
+        for method, target, status, body in calls:
+            found = rig.call(f"{method or 'GET'} {target}")
+            assert rig.lines[-1].split()[2] == status and (not body or found == json.loads(body)), target
+        told = rig.call("GET /status/metrics")
+        for figure in (*told, *told["downstream_requests"]["any"]):
+            assert f"`{figure}`" in page, figure
+        return rig.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    calls_by_bytes, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket, upgrade_in_flight,
+    calls_by_bytes, calls_of_the_page, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket, upgrade_in_flight,
     new_process_dies, bad_handovers)}
 
 
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 
-from wheathill.config import Limits, operator
+from wheathill.config import Limits, Misconfigured, operator
 from wheathill.lab.baselines import decisions
 from wheathill.lab.clients import Crowd
 from wheathill.lab.discovery import Agent, Registry
@@ -77,13 +77,15 @@
             self.registry.set(name, site=zone, block=cell, health="ready",
                               share=kind.weight, born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
+        held = any(event.do == "proxy-upgrade" for event in script.event)
+        if world.name != "virtual" and any(event.do in ("proxy-upgrade", "by-hand") for event in script.event):
+            raise Misconfigured("event: proxy-upgrade and by-hand are played in the virtual world only")
         front = world.host("front", None, self.limits)
         self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
         self.seats, self.agents = {}, {}
         for name, zone in peers:
             host = world.host(f"agent-{name}", zone, self.limits)
             agent = self.agents[name] = Agent(name, self.registry, host, self.limits, self.dial)
-            held = any(event.do == "proxy-upgrade" for event in script.event)
             self.seats[name] = world.proxy(name, zone, self.node_values(name, zone, agent), record.log(name),
                                            *[held] * held)
         self.people = world.host("clients", None, self.limits)
