A process that is told to stop can still be taken over from; upgrades that meet are tested

Cause, found by the new test (two processes started at once beside one that gets SIGTERM and SIGHUP): stopping closes the clients' socket, and holding a closed one raised a fault that ended the handover; its session then stayed until SIGKILL. Ruled out: the wait for newcomers and the second process's retry. Closed doors now stay closed in silence.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections import Counter
 
 from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
@@ -258,7 +259,7 @@
         return self
 
     def __exit__(self, *_):
-        for process in (*self.old, self.process):
+        for process in dict.fromkeys((*self.old, self.process)):
             process.kill()
             process.communicate()
         self.folder.cleanup()
@@ -273,6 +274,17 @@
                 return found
         raise AssertionError(f"ended without a line {event}")
 
+    def process_says(self, process, event, within=2.0):
+        """Whether it logs that event soon; what it had logged before is passed over."""
+        until = time.monotonic() + within
+        while (left := until - time.monotonic()) > 0 and select.select([process.stdout], [], [], left)[0]:
+            line = process.stdout.readline()
+            if not line:
+                return False
+            if json.loads(line)["event"] == event:
+                return True
+        return False
+
     def list(self, *names, whole=True, **changed):
         self.seq += 1
         hosts = [{"host": name, "dial": "%s:%d" % self.servers[name].getsockname(), "site": "x", "class": "m",
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -353,6 +353,37 @@
         return rig.lines
 
 
+def upgrades_that_meet():
+    """Two processes started at once beside one; one that is told to stop is still taken over from; SIGHUP
+    meanwhile; the last process serves all, exactly one accepts."""
+    with Rig(inherited=True, settings={"obligations": {"drainGraceS": 0.5, "coldS": 0}}) as rig:
+        rig.watched("a", "b")
+        rig.until_logged("ready")
+        client, server = rig.up()
+        rig.reload()
+        rig.old.append(rig.process)
+        rig.begin()
+        second, _ = rig.process, rig.old.append(rig.process)
+        rig.begin()
+        rig.old[0].terminate()
+        rig.until_logged("accepting")
+        rig.process, third = second, rig.process
+        rig.until_logged("accepting")
+        # Whichever came first was taken over from by the other.
+        found = {process: rig.process_says(process, "handed over") for process in (second, third)}
+        last = next(process for process, handed in found.items() if not handed)
+        first = next(process for process, handed in found.items() if handed)
+        first.terminate()
+        rig.lines.append(f"the first two exit with {rig.old[0].wait(8)} and {first.wait(8)}")
+        rig.process = last
+        rig.reload(name="n9")
+        client.say("still here")
+        server.hear()
+        server.say("echo")
+        client.hear()
+        return rig.lines
+
+
 BAD_HANDOVERS = {
     "dies in the middle": [b'{"servers": [{"na'], "no JSON": [b"what?\n"], "foreign": [b'{"no": "version 9"}\n'],
     "no state": [b'{"servers": []}\n{"told": true}\n'], "unknown part": [b'{"tables": {}}\n'],
@@ -409,7 +440,7 @@
 
 SCENARIOS = {run.__name__: run for run in (
     calls_by_bytes, calls_of_the_page, door_under_silent_callers, servers_out_by_hand, second_process_on_the_same_socket, upgrade_in_flight,
-    new_process_dies, bad_handovers)}
+    new_process_dies, upgrades_that_meet, bad_handovers)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -263,8 +263,8 @@
 
 def surroundings(environ):
     """What the environment tells a proxy beside its configuration."""
-    return {"state": environ.get("TMPDIR"), **{
-        key: environ.get("NODE_" + key.upper()) for key in ("name", "listen", "discovery", "admin_addr", "fd")}}
+    told = ("name", "listen", "discovery", "admin_addr", "fd")
+    return {"state": environ.get("TMPDIR"), **{key: environ.get("NODE_" + key.upper()) for key in told}}
 
 
 def node_of(values, instead=None):
@@ -286,7 +286,8 @@
     spare = Limits.spare_sockets + (Limits.calls + 1 if admin else 0)
     return Node(
         name=top.text("name", instead.get("name")), **where, seed=top.text("seed"),
-        listen_fd=inherited(instead.get("fd"), "NODE_FD"), admin=address(admin, "admin_addr") if admin else None,
+        listen_fd=inherited(instead.get("fd"), "NODE_FD"),
+        admin=address(admin, "admin_addr") if admin else None,
         state=instead.get("state") if admin or instead.get("fd") else None,
         limits=Limits(sockets=sockets, spare_sockets=spare,
                       **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -174,5 +174,6 @@
 
 
 def read(path):
-    """The file says all but what is handed to the process: `$NODE_FD`, and `$NODE_ADMIN_ADDR` where it names none."""
+    """The file says all but what is handed to the process: `$NODE_FD`, `$TMPDIR`, and `$NODE_ADMIN_ADDR` where
+    it names none."""
     return node_of(platform_form(file_of(checked.load(path))), surroundings(os.environ))
--- a/wheathill/handover/__init__.py
+++ b/wheathill/handover/__init__.py
@@ -1,1 +1,1 @@
-"""An upgrade in flight: the process that is started beside another takes over its state, door and sessions."""
+"""An upgrade in flight: the process that is started beside another takes over state, door and sessions."""
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -89,7 +89,8 @@
         addresses = {server: (expect(told["address"][0], str), int(number(told["address"][1], 0, 65535)))
                      for server, told in zip(servers, parts["servers"]) if told["address"] is not None}
         table = balancer.table
-        slots = {name: [None if at is None else servers[whole(at)] for at in expect(parts["table"][name], list)]
+        slots = {name: [None if at is None else servers[whole(at)]
+                        for at in expect(parts["table"][name], list)]
                  for name in ("home", "current", "new")}
         if any(len(found) != table.size for found in slots.values()):
             raise ValueError("a table of another size")
@@ -110,7 +111,8 @@
                 for name, (since, until) in rest["back"].items()}
         dials = [(number(when), servers[whole(at)], expect(well, bool)) for when, at, well in rest["dials"]]
         figures = {name: number(rest[name], 1e-6, 1e9) for name in ("bearable", "window")}
-        times = {name: -math.inf if rest[name] is None else number(rest[name]) for name in ("cut_at", "next_at")}
+        times = {name: -math.inf if rest[name] is None else number(rest[name])
+                 for name in ("cut_at", "next_at")}
         earned, seen = number(rest["earned"], -1e9, 1e9), whole(rest["seen"])
         yield proxy.servers.update, by_name
         yield proxy.addresses.update, addresses
@@ -172,13 +174,13 @@
     sess = client.sess
     return {"line": client.head.line.decode(), "listener": sess.listener.name, "key": sess.key,
             "tenant": sess.tenant, "group": sess.group, "load": sess.load, "mid_flow": sess.mid_flow,
-            "returning": sess.returning, "repeat": sess.repeat, "accepted": sess.accepted, "came": client.came,
-            "asked": client.asked, "server": dial.server.name, "rest": dial.rest.decode("latin-1")}
+            "returning": sess.returning, "repeat": sess.repeat, "accepted": sess.accepted,
+            "came": client.came, "asked": client.asked, "server": dial.server.name, "rest": dial.rest.decode("latin-1")}
 
 
 def read_session(told, listeners):
-    """(line, session, what the machines have to know). Raises ValueError. A listener that the settings no longer name
-    keeps its name until its sessions end."""
+    """(line, session, what the machines have to know). Raises ValueError. A listener that the settings no
+    longer name keeps its name until its sessions end."""
     try:
         name = expect(told["listener"], str)
         sess = Session(listener=listeners.get(name) or Listener(name), key=expect(told["key"], str),
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -254,7 +254,8 @@
 
     def on_dial(self, now, sess, server, first):
         proxy = self.proxies.get(sess)
-        told = min(filter(None, (self.told.get((proxy, server)), self.held.get((proxy, server)))), default=None)
+        known = self.told.get((proxy, server)), self.held.get((proxy, server))
+        told = min((when for when in known if when is not None), default=None)
         if told is not None and first > told + self.grace + self.slack:
             self.breach(now, f"{proxy} dialled it {first - told:.0f} ms after it was told that it leaves",
                         sess, server)
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -78,7 +78,8 @@
                               share=kind.weight, born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
         held = any(event.do == "proxy-upgrade" for event in script.event)
-        if world.name != "virtual" and any(event.do in ("proxy-upgrade", "by-hand") for event in script.event):
+        only = [event.do for event in script.event if event.do in ("proxy-upgrade", "by-hand")]
+        if only and world.name != "virtual":
             raise Misconfigured("event: proxy-upgrade and by-hand are played in the virtual world only")
         front = world.host("front", None, self.limits)
         self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
--- a/wheathill/lab/world.py
+++ b/wheathill/lab/world.py
@@ -626,7 +626,7 @@
         Upgrade(self.proxy, carrier, self.host.clock, self.log).begin()
 
     def upgrade(self, longest):
-        """The second process beside; at its yes the first is told to stop, and killed when it had its time."""
+        """A second process beside; at its yes the first is told to stop, and killed when it had its time."""
         self.old = self.host, self.proxy
         self.host = VirtualHost(self.world.net, self.name, self.zone)
         self.start()
--- a/wheathill/net/bans.py
+++ b/wheathill/net/bans.py
@@ -39,7 +39,8 @@
         if os.fstat(descriptor).st_uid != os.geteuid():
             raise ValueError("the file is another user's")
         found = orjson.loads(file.read(most * 512))
-    if not isinstance(found, dict) or found.get("version") != VERSION or not isinstance(found.get("out"), dict) \
+    if not isinstance(found, dict) or found.get("version") != VERSION \
+            or not isinstance(found.get("out"), dict) \
             or not all(isinstance(since, (int, float)) for since in found["out"].values()):
         raise ValueError("not a file of this version")
     return found["out"]
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -30,7 +30,7 @@
         return Door(self, make_machine, listening(address, inherited, self.limits.backlog), room)
 
     def adopt(self, handle, machine):
-        """The connection that a descriptor from another process holds; it reads nothing until `hold(False)`."""
+        """The connection of a descriptor from another process; it reads nothing until `hold(False)`."""
         wire = machine.wire = Wire(self, lambda _: machine)
         wire.handed = wire.counted = True       # as a descriptor, so far
         wire.task = self.loop.create_task(wire.take(socket.socket(fileno=handle)))
@@ -89,7 +89,9 @@
         self.hold(False)
 
     def hold(self, on):
-        """While it is held nobody is taken in; the system still lets connections come up."""
+        """While it is held nobody is taken in; the system still lets connections come up. Closed stays closed."""
+        if self.sock.fileno() < 0:
+            return
         loop = self.carrier.loop
         if self.later:
             self.later.cancel()
--- a/wheathill/net/figures.py
+++ b/wheathill/net/figures.py
@@ -1,4 +1,4 @@
-"""Counts since the start: each event once, where it happens; the log and the operators' door tell the same."""
+"""Counts since the start: each event once, where it happens; log and operators' door tell the same."""
 
 from collections import Counter
 
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -31,7 +31,7 @@
         self.door = None        # where clients are taken in
         self.upgrade = None     # where another process may take over, or has
         self.handed_over = False
-        self.swept = self.worst_delay = 0.0     # when a sweep was due; the longest that one was late since it was logged
+        self.swept = self.worst_delay = 0.0     # when a sweep was due; the longest one was late since logged
         self.take(node)
         self.started_with = node.told
         self.clock = clock
