--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,7 +15,9 @@
 from wheathill.lab.run import play
 from wheathill.lab.scene import Scene
 from wheathill.lab.world import VirtualWorld
+from wheathill.net.admin import Call
 from wheathill.net.client import Client
+from wheathill.net.operators import OperatorsDoor
 from wheathill.net.proxy import Proxy
 
 MUTANTS_SCRIPT = "tests/scripts/mutants.toml"
@@ -210,6 +212,11 @@
     found = play(scripts.read("experiments/out-by-hand.toml"), proxy=Deaf).breaches
     assert any(breach.rule == 3 for breach in found)
 
+    monkeypatch.setattr(OperatorsDoor, "room", lambda door: True)       # nobody makes room
+    monkeypatch.setattr(Call, "connected", lambda call: call.wire.hold(True))
+    calls = play(scripts.read("experiments/callers.toml")).breaches
+    assert any("an operator's call" in breach.what for breach in calls)
+
     def cut(before):
         script = scripts.read("experiments/upgrade.toml", [("proxies.packets_pass", True)])
         return sum(kind == "cut" and now < before
@@ -236,7 +243,7 @@
     ("factor = 1.5", "", "event[4].factor: is missing"),
     ('do = "drain"', 'do = "back"', "event[0]: nothing has befallen g1 before"),
     ('do = "drain"', 'do = "drian"', "event[0].do: invalid enum value 'drian', expected one of silent, pause, kill, "
-     "back, erring, slow, drain, list-lies, by-hand, proxy-kill, proxy-roll, proxy-pause, proxy-reload, proxy-upgrade, store-slower, herd, "
+     "back, erring, slow, drain, list-lies, by-hand, proxy-kill, proxy-roll, proxy-pause, proxy-reload, proxy-upgrade, callers, store-slower, herd, "
      "list-unreachable, list-torn, list-restarted, list-moved, costly, partition, cut"),
     ('listener = "orders"', 'listener = "odd"', "clients[0].listener: 'odd' is none of orders, reads"),
     ('name = "b"', 'name = "a"', "clients: 'a' stands twice")])
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -322,6 +322,10 @@
     def on_syntax(self, now, server):
         self.breach(now, "a line that no client sent", server=server)
 
+    def on_call(self, now, proxy, status, took):
+        if status != "200" or took > 1000.0:
+            self.breach(now, f"an operator's call at {proxy}: {status or 'no answer'} after {took:.0f} ms")
+
     def on_over_memory(self, now, proxy, mb):
         self.breach(now, f"{proxy} holds {mb} MB, more than it may")
 
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -7,6 +7,7 @@
 
 from wheathill.config import Limits, Misconfigured, operator
 from wheathill.lab.baselines import decisions
+from wheathill.lab.callers import Callers
 from wheathill.lab.clients import Crowd
 from wheathill.lab.discovery import Agent, Registry
 from wheathill.lab.front import Front
@@ -78,9 +79,9 @@
                               share=kind.weight, born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
         held = any(event.do == "proxy-upgrade" for event in script.event)
-        only = [event.do for event in script.event if event.do in ("proxy-upgrade", "by-hand")]
+        only = [event.do for event in script.event if event.do in ("proxy-upgrade", "by-hand", "callers")]
         if only and world.name != "virtual":
-            raise Misconfigured("event: proxy-upgrade and by-hand are played in the virtual world only")
+            raise Misconfigured(f"event: {only[0]} is played in the virtual world only")
         front = world.host("front", None, self.limits)
         self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
         self.seats, self.agents = {}, {}
@@ -89,6 +90,7 @@
             agent = self.agents[name] = Agent(name, self.registry, host, self.limits, self.dial)
             self.seats[name] = world.proxy(name, zone, self.node_values(name, zone, agent), record.log(name),
                                            *[held] * held)
+            self.seats[name].calls = "callers" in only
         self.people = world.host("clients", None, self.limits)
         self.crowds = []
         listeners = {item.name: item for item in script.listener}
@@ -360,6 +362,10 @@
         self.clock.after(event.leaves_s * 1000, restart)
         return put_back
 
+    def do_callers(self, event, on):
+        """They call the process that runs now."""
+        return Callers(self.people, self.limits, self.record, on, self.seats[on].admin, event.times).stop
+
     def do_proxy_pause(self, event, on):
         self.record.note("host", name=on, state="paused")
         self.seats[on].pause()
--- a/wheathill/lab/script.py
+++ b/wheathill/lab/script.py
@@ -12,7 +12,7 @@
 Many = Annotated[int, Meta(ge=1, le=100_000)]
 
 ON_GATEWAY = ("silent", "pause", "kill", "back", "erring", "slow", "drain", "list-lies", "by-hand")
-ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload", "proxy-upgrade")
+ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload", "proxy-upgrade", "callers")
 ON_ALL = ("store-slower", "herd", "list-unreachable", "list-torn", "list-restarted", "list-moved", "costly",
           "partition", "cut")
 NEEDS_FACTOR = ("slow", "store-slower", "costly")
--- a/wheathill/lab/world.py
+++ b/wheathill/lab/world.py
@@ -14,6 +14,7 @@
 from wheathill.config import node_of
 from wheathill.lab.tap import Tap
 from wheathill.net.driver import Guarded
+from wheathill.net.operators import OperatorsDoor
 from wheathill.net.proxy import Proxy
 from wheathill.policy import Balancer
 
@@ -573,6 +574,17 @@
         self.where = self.host.where
         self.proxy = None
         self.starts = 0
+        self.calls = False          # operators may call
+
+    @property
+    def admin(self):
+        """Where operators call the process that runs now."""
+        return self.where[0], 9600 + self.starts
+
+    def open_to_operators(self, carrier):
+        if self.calls:
+            door = OperatorsDoor(self.proxy)
+            carrier.listen(door.call, self.admin, door.room)
 
     @property
     def running(self):
@@ -585,6 +597,7 @@
         carrier = VirtualCarrier(self.host, node.limits, self.log)
         self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
         carrier.listen(self.proxy.client, self.where, self.proxy.room)
+        self.open_to_operators(carrier)
         self.proxy.start()
 
     def kill(self):
@@ -623,6 +636,7 @@
         carrier = self.beside.ProcessCarrier(self.host, node.limits, self.log, self.door, self.places)
         self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
         self.proxy.door = carrier.open_door(self.proxy.client, self.proxy.room)
+        self.open_to_operators(carrier)
         Upgrade(self.proxy, carrier, self.host.clock, self.log).begin()
 
     def upgrade(self, longest):
--- a/wheathill/net/operators.py
+++ b/wheathill/net/operators.py
@@ -10,7 +10,7 @@
 
     def __init__(self, proxy):
         self.proxy = proxy
-        self.calls = {}         # not over yet, oldest first
+        self.calls = {}         # not over yet, oldest first -> since when
         # Later subsystems add their paths here: (what answers, what the query has to name).
         self.paths = {"/status": {"GET": (self.status,)},
                       "/status/metrics": {"GET": (proxy.metrics,)},
@@ -19,17 +19,24 @@
 
     def call(self, wire):
         call = Call(wire, self.answer, self.proxy.limits, self.proxy.clock)
-        self.calls[call] = None
+        self.calls[call] = self.proxy.now()
         return call
 
     def room(self):
-        """The oldest call makes room: who says nothing must not keep others out."""
+        """The oldest call makes room: who says nothing must not keep others out. What has come and was not read
+        yet is asked for, and a call has some time to come: of fifty callers at once the one that said something
+        was among those cut off."""
         for call in [call for call in self.calls if not call.wire.counted]:
             del self.calls[call]
-        if len(self.calls) >= self.proxy.limits.calls:
-            oldest = next((call for call in self.calls if call.done), next(iter(self.calls)))
-            del self.calls[oldest]
-            oldest.make_room()
+        if len(self.calls) < self.proxy.limits.calls:
+            return True
+        late = self.proxy.now() - self.proxy.limits.ask_within
+        oldest = next((call for call, since in self.calls.items()
+                       if call.done or since < late and not (call.wire.open and call.wire.unread)), None)
+        if oldest is None:
+            return False
+        del self.calls[oldest]
+        oldest.make_room()
         return True
 
     def answer(self, method, path, query):
