A ban that the other process has kept never ends a handover; one name for both files

Found by reading the change again: a ban relayed from the other process raised OSError where this one could not write, which ended the handover under way; it now counts, and says so in the log.

--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -5,6 +5,7 @@
 checked and given defaults by the same lines. Nothing here may need more than the standard library.
 """
 
+import hashlib
 import json
 import math
 import socket
@@ -209,6 +210,11 @@
     balancer: dict
     told: dict                          # the configuration as it was read
 
+    @property
+    def mark(self):
+        """Names its files in `state`, which several proxies may share."""
+        return hashlib.blake2b(f"{self.name} {self.listen}".encode(), digest_size=4).hexdigest()
+
 # What a running proxy takes from a configuration that is read again. `known` and `seed` are for a start only.
 IN_PLACE = ("discovery", "limits", "settings.listeners", "settings.tenants", "settings.limits.connectTimeoutS",
             "settings.limits.idleCloseS", "known", "seed")
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -1,7 +1,7 @@
 """What one process of a proxy tells the one that takes over: its state as plain objects, and back.
 
 All times are milliseconds of the machine's monotonic clock, which both read. What comes is checked whole
-before any of it is used: `read` raises ValueError with the proxy as it was.
+before any of it is used: `Told.apply` raises ValueError with the proxy as it was.
 """
 
 import math
@@ -175,7 +175,8 @@
     return {"line": client.head.line.decode(), "listener": sess.listener.name, "key": sess.key,
             "tenant": sess.tenant, "group": sess.group, "load": sess.load, "mid_flow": sess.mid_flow,
             "returning": sess.returning, "repeat": sess.repeat, "accepted": sess.accepted,
-            "came": client.came, "asked": client.asked, "server": dial.server.name, "rest": dial.rest.decode("latin-1")}
+            "came": client.came, "asked": client.asked, "server": dial.server.name,
+            "rest": dial.rest.decode("latin-1")}
 
 
 def read_session(told, listeners):
--- a/wheathill/handover/talk.py
+++ b/wheathill/handover/talk.py
@@ -91,6 +91,7 @@
         self.state = "met"          # then asked, and given
         self.out = []               # handles that were sent and may still have to be taken back
         self.sent = []              # what was told of their sessions
+        self.held = None            # descriptors, as last told
 
     @property
     def agreed(self):
@@ -132,7 +133,10 @@
         """A few at a time, the next when these are taken: descriptors are doubled on their way."""
         if self.over:
             return
-        self.say(held=self.wire.carrier.sockets + self.limits.own_sockets)
+        held = self.wire.carrier.sockets + self.limits.own_sockets
+        if held != self.held:
+            self.held = held
+            self.say(held=held)
         if self.sent:
             return
         handles, told = [], []
--- a/wheathill/handover/upgrade.py
+++ b/wheathill/handover/upgrade.py
@@ -1,7 +1,5 @@
 """An upgrade as one process sees it: whom it takes over from, and who takes over from it."""
 
-import hashlib
-
 from wheathill.handover.talk import Giver, Taker
 
 
@@ -11,8 +9,7 @@
 
     def __init__(self, proxy, carrier, clock, log_event):
         self.proxy, self.carrier, self.clock, self.log_event = proxy, carrier, clock, log_event
-        mark = hashlib.blake2b(f"{proxy.node.name} {proxy.node.listen}".encode(), digest_size=4).hexdigest()
-        self.name = f"wheathill-{mark}.up"
+        self.name = f"wheathill-{proxy.node.mark}.up"
         self.taker = self.giver = self.place = None
         self.tried_since = None
         self.cold_multiple = None       # of the budget that was given away
--- a/wheathill/net/bans.py
+++ b/wheathill/net/bans.py
@@ -1,6 +1,5 @@
 """Who is out by hand, in a file that outlives the process: written whole before a call is answered."""
 
-import hashlib
 import os
 
 import orjson
@@ -9,9 +8,8 @@
 
 
 def path_of(node):
-    """Several proxies may share a folder. None where there is none."""
-    mark = hashlib.blake2b(f"{node.name} {node.listen}".encode(), digest_size=4).hexdigest()
-    return node.state and os.path.join(node.state, f"wheathill-{mark}.out")
+    """None where no folder outlives the process."""
+    return node.state and os.path.join(node.state, f"wheathill-{node.mark}.out")
 
 
 def write(path, out):
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -89,7 +89,7 @@
         self.hold(False)
 
     def hold(self, on):
-        """While it is held nobody is taken in; the system still lets connections come up. Closed stays closed."""
+        """While it is held nobody is taken in; the system still lets them come up. Closed stays closed."""
         if self.sock.fileno() < 0:
             return
         loop = self.carrier.loop
--- a/wheathill/net/operators.py
+++ b/wheathill/net/operators.py
@@ -23,9 +23,9 @@
         return call
 
     def room(self):
-        """The oldest call makes room: who says nothing must not keep others out. What has come and was not read
-        yet is asked for, and a call has some time to come: of fifty callers at once the one that said something
-        was among those cut off."""
+        """The oldest call makes room: who says nothing must not keep others out. What has come and was not
+        read yet is asked for, and a call has some time to come: of fifty callers at once the one that said
+        something was among those cut off."""
         for call in [call for call in self.calls if not call.wire.counted]:
             del self.calls[call]
         if len(self.calls) < self.proxy.limits.calls:
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -513,7 +513,13 @@
             held.pop(name, None)
         path = bans.path_of(self.node)
         if path and list(held) != list(self.balancer.roster.out):
-            bans.write(path, {other: self.clock.to_wall(since) for other, since in held.items()})
+            try:
+                bans.write(path, {other: self.clock.to_wall(since) for other, since in held.items()})
+            except OSError as wrong:
+                if told is None:
+                    raise
+                # The other process has kept it, and said yes: it counts here all the same.
+                self.log_event("bad bans", path=path, what=str(wrong))
         self.log_event("out by hand" if out else "put back", server=name, out=len(held))
         self.balancer.on_hand(self.now(), name, out, self.servers.get(name))
         if self.upgrade:
