A budget of further dials is kept; a list without a server does not bind where so set

Cause: Placement.back dials on whenever a dial is left; nothing counts over sessions.

Change: DialBudget, one gate in Dialling.enter that every dial passes, so no interleaving goes round it; a session that finds none left is answered at once. Counted from the start, sessions leave the window at its edge and dials only after it, never-sent dials are given back; a cheaper session leaves what dearer ones asked for in vain. Upgrades carry the dials made and keep none behind. Where only draining binds, a server that a list leaves out or calls gone stays until it also gives no answer; one seen draining never comes back by silence. Settings are read and checked in config/ and stand in the operator's file (fleet.further_dials_s, _free, _share, only_draining_binds); absent: as before.

Tests: budget_of_dials and gone_does_not_bind, which the module before could not even be told of.

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -33,6 +33,8 @@
         "limits.sockets: expected `int`, got `str`"]),
     ('[[server]]', '[[server]]\nname = "a"\naddress = "127.0.0.1:1"\n[[server]]', [
         "server[1]: 'a' stands at server[0] already"]),
+    ('[[server]]', '[fleet]\nfurther_dials_free = 2\n[[server]]', [
+        "fleet.further_dials_s: is missing beside further_dials_free or further_dials_share"]),
     ('127.0.0.1:0', 'here:99999', ["listen: 'here:99999' is not HOST:PORT"]),
     ('name = "edge"', 'name =', ["file.toml: Invalid value (at line 2, column 7)"])])
 def test_faults(tmp_path, monkeypatch, old, new, faults):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -419,8 +419,50 @@
     return d.lines
 
 
+def budget_of_dials():
+    d = Drive(most_dials=6, budget=(2.0, 0.25, 1000.0))
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.say("two further dials are free, four sessions allow one more; a packet of an open connection counts alike:")
+    held = [d.session(f"s{i}", key=f"key {i}", mid_flow=i == 3) for i in range(4)]
+    for sess in held:
+        d.outcome(sess, Outcome.CONNECT_FAILED)
+    d.say("one that was never sent does not count:")
+    d.outcome(held[0], Outcome.NEVER_SENT)
+    d.outcome(held[1], Outcome.CONNECT_FAILED)
+    d.now += 1000.0
+    d.say("sessions leave the window at its edge, and dials only after it:")
+    held = [d.session(f"later s{i}", key=f"key {i}") for i in range(2)]
+    d.outcome(held[0], Outcome.CONNECT_FAILED)
+    d.now += 2.0
+    d.outcome(held[1], Outcome.CONNECT_FAILED)
+    d.now += 60_000.0
+    d.say("a dear session found none left: the next cheap one leaves what a dear one would need")
+    listeners = {"dear": Listener("dear", utility=5.0), "cheap": Listener("cheap")}
+    for wait, whose in ((0.0, ("dear",) * 3), (500.0, ("cheap",) * 6), (0.0, ("dear",))):
+        d.now += wait
+        for sess in [d.session(f"{who} {place}", listeners[who]) for place, who in enumerate(whose)]:
+            d.outcome(sess, Outcome.CONNECT_FAILED)
+    return d.lines
+
+
+def gone_does_not_bind():
+    d = Drive(loads=dict.fromkeys(FLEET, 0.3), gone_binds=False)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.list(("a", Phase.GONE), ("b", Phase.DRAINING))
+    d.list("c", kind=ListKind.FULL)
+    d.shares()
+    d.say("a draining one never comes back by a list that leaves it out; the others give no answer or give one:")
+    d.loads["a"] = None
+    for server in "abd":
+        d.balancer.probes.send(d.now, d.servers[server])
+    d.shares()
+    d.list(("a", 0.0))
+    d.shares()
+    return d.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
+    budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -104,12 +104,27 @@
     return listeners
 
 
+def read_budget(duties):
+    """(further dials free of any traffic, and for each session taken, within how many ms), or None where none
+    is stated."""
+    stated = [key for key in ("freeResends", "resendRatio", "ratioSpanS") if duties.values.get(key) is not None]
+    if not stated:
+        return None
+    if "ratioSpanS" not in stated:
+        raise Misconfigured(f"{duties.at('ratioSpanS')}: is missing, beside {duties.at(stated[0])}")
+    span = duties.number("ratioSpanS", None, 1e-3, 86_400.0)
+    return duties.number("freeResends", 0.0), duties.number("resendRatio", 0.0), span * 1000
+
+
 def balancer_settings(settings):
     """What a Balancer is made with, beside its actions and its source of chance."""
     limits = settings.part("limits")
     duties = settings.part("obligations")
     prices = settings.part("prices")
     report = settings.part("report")
+    goal = settings.part("goal")
+    for key, default in (("logLossPart", 0.0), ("ninesFull", 3.0)):
+        goal.number(key, default)       # read to be checked: what is decided does not hang on them
     may_probe = limits.flag("mayProbe")
     reported = {"inline": True, "on_probe": may_probe}.get(report.text("how", "off"), False)
     return {
@@ -122,6 +137,7 @@
         "cold_for": duties.ms("coldS", 20_000.0), "cold_multiple": duties.number("tipMultiple", 1.0),
         "cold_window": duties.ms("tipAfterS", 1000.0), "most_dials": limits.count("maxDials", 1),
         "crossing_price": prices.number("crossZone", 0.0), "move_price": prices.number("moves", 0.0),
+        "budget": read_budget(duties), "gone_binds": not duties.flag("onlyDrainingBinds"),
         "longest_wait": limits.ms("maxRetryAfterS", 0.0) if limits.flag("retryAfter") else 0.0,
         "passes_through": settings.part("familyInfo").text("mode", "proxy") == "pass"}
 
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -70,6 +70,10 @@
     cold_start_share: Share = 0.1
     cold_multiple: Annotated[float, Meta(gt=0)] = 4.0
     cold_window_ms: Ms = 1000.0
+    further_dials_s: Seconds = 0.0
+    further_dials_free: Count = 0
+    further_dials_share: Share = 0.0
+    only_draining_binds: bool = False
     probes: bool = False
     report_fields: list[Literal["inflight", "waiting", "cpu", "x0", "active"]] = []
 
@@ -109,6 +113,8 @@
         for place, name in enumerate(names):
             if name in names[:place]:
                 yield f"{what}[{place}]: {name!r} stands at {what}[{names.index(name)}] already"
+    if not file.fleet.further_dials_s and (file.fleet.further_dials_free or file.fleet.further_dials_share):
+        yield "fleet.further_dials_s: is missing beside further_dials_free or further_dials_share"
     if file.own_zone is not None and file.own_zone not in file.zone:
         yield f"own_zone: {file.own_zone!r} is not one of zone"
     for place, item in enumerate(file.server):
@@ -158,7 +164,10 @@
             "obligations": {"drainGraceS": fleet.drain_grace_ms / 1000,
                             "startCapacity": fleet.cold_start_share, "coldS": fleet.cold_s,
                             "tipMultiple": fleet.cold_multiple,
-                            "tipAfterS": fleet.cold_window_ms / 1000},
+                            "tipAfterS": fleet.cold_window_ms / 1000,
+                            "onlyDrainingBinds": fleet.only_draining_binds,
+                            **({"ratioSpanS": fleet.further_dials_s, "freeResends": fleet.further_dials_free,
+                                "resendRatio": fleet.further_dials_share} if fleet.further_dials_s else {})},
             "prices": {"crossZone": file.prices.crossing, "moves": file.prices.move},
             "report": {"how": "on_probe" if fleet.probes else "off", "names": fleet.report_fields},
             "familyInfo": {"mode": "pass" if file.packets_pass else "proxy", "groups": file.groups,
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -33,7 +33,7 @@
     yield {"rest": {
         "seen": proxy.seen, "discovery": proxy.node.discovery, "out": roster.out, "back": roster.back,
         "bearable": balancer.levels.bearable, "earned": balancer.probes.earned, "window": first.window,
-        "cut_at": first.cut_at, "next_at": first.next_at,
+        "cut_at": first.cut_at, "next_at": first.next_at, "further": list(balancer.budget.spent),
         "dials": [(when, place[server], well) for when, server, well in balancer.health.dials
                   if server in place]}}
 
@@ -46,6 +46,7 @@
 def told_server(server, address):
     return {"name": server.name, "address": address, "zone": server.zone, "cell": server.cell,
             "phase": server.phase.value, "listed": server.listed.value, "silent": server.silent,
+            "doubted": server.doubted,
             "samples": list(server.samples), "results": list(server.results),
             "dialled": list(server.dialled),
             **{name: getattr(server, name) for name in SERVER_TIMES + SERVER_FIGURES}}
@@ -113,6 +114,7 @@
         figures = {name: number(rest[name], 1e-6, 1e9) for name in ("bearable", "window")}
         times = {name: -math.inf if rest[name] is None else number(rest[name])
                  for name in ("cut_at", "next_at")}
+        further = [(number(when), number(utility)) for when, utility in rest.get("further", ())]     # a process from before the budget tells none
         earned, seen = number(rest["earned"], -1e9, 1e9), whole(rest["seen"])
         yield proxy.servers.update, by_name
         yield proxy.addresses.update, addresses
@@ -128,6 +130,7 @@
         for name, when in times.items():
             yield setattr, balancer.first, name, when
         yield balancer.health.dials.extend, dials
+        yield balancer.budget.spent.extend, further
         if rest["discovery"] == list(proxy.node.discovery or ()):
             # Versions count at one address.
             yield setattr, proxy, "seen", seen
@@ -161,6 +164,7 @@
             setattr(server, name, -math.inf)
     server.weight, server.credit = number(told["weight"], 1e-9, 1e9), number(told["credit"], -1e9, 1e9)
     server.silent = whole(told["silent"])
+    server.doubted = expect(told.get("doubted", False), bool)
     for name, read in (("samples", number), ("results", lambda well: expect(well, bool))):
         getattr(server, name).extend((number(when), read(what)) for when, what in told[name])
     server.dialled.extend(map(number, told["dialled"]))
--- a/wheathill/handover/upgrade.py
+++ b/wheathill/handover/upgrade.py
@@ -1,5 +1,7 @@
 """An upgrade as one process sees it: whom it takes over from, and who takes over from it."""
 
+import math
+
 from wheathill.handover.talk import Giver, Taker
 
 
@@ -12,7 +14,7 @@
         self.name = f"wheathill-{proxy.node.mark}.up"
         self.taker = self.giver = self.place = None
         self.tried_since = None
-        self.cold_multiple = None       # of the budget that was given away
+        self.cold_multiple = self.free_dials = None     # of the budgets that were given away
         proxy.upgrade = self
         proxy.door.hold(True)
 
@@ -71,13 +73,16 @@
         return BUSY if self.giver else None
 
     def asked(self, giver):
-        """Nobody is let in any more. What may go to cold servers is told whole: none of it stays here."""
+        """Nobody is let in any more. What may go to cold servers and what further dials are left is told whole:
+        none of it stays here."""
         self.giver = giver
         self.proxy.door.hold(True)
 
     def told(self):
         cold = self.proxy.balancer.cold
         self.cold_multiple, cold.multiple = cold.multiple, 0.0
+        budget = self.proxy.balancer.budget
+        self.free_dials, budget.free = budget.free, -math.inf
         for server in self.proxy.servers.values():
             server.credit = 0.0
 
@@ -96,6 +101,7 @@
         self.proxy.handed_over = False
         if self.cold_multiple is not None:
             self.proxy.balancer.cold.multiple = self.cold_multiple
+            self.proxy.balancer.budget.free = self.free_dials
         self.log_event("handover undone", why=why)
         if self.proxy.stopping is None:
             self.proxy.door.hold(False)
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -68,6 +68,7 @@
     started: float | None = None        # None: long ago
     phase: Phase = Phase.READY          # as listed, but for one that is out by hand
     listed: Phase = Phase.READY
+    doubted: bool = False               # its list says gone, which does not bind: one more sign and it is
     told: float = 0.0                   # when this proxy heard that it drains or is gone
     draws: Sequence[int] = ()           # by slot, from its name
     pull: float = 1.0                   # what they count for
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -297,7 +297,8 @@
 class Roster:
     """Follows the list of servers; tells who joined and who left."""
 
-    def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform):
+    def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform, gone_binds):
+        self.gone_binds = gone_binds
         self.spread = spread
         self.actions = actions
         self.sized = sized
@@ -339,7 +340,7 @@
         joined, left, listed = {}, {}, {}
         for server, phase, weight, started in entries:
             listed[server] = None
-            server.listed = phase
+            server.listed, server.doubted = phase, False
             if phase is Phase.READY and server.name in self.out:
                 phase = Phase.DRAINING
             since, until = self.back.get(server.name, (-math.inf, None))
@@ -360,16 +361,27 @@
                     server.silent, server.probed = 0, None
                 server.phase = Phase.READY
             elif server.phase is Phase.READY or server in self.servers:
-                self.lose(now, server, phase, left)
+                self.miss(now, server, phase, left)
             else:
                 server.phase = phase
         if kind not in (ListKind.CHANGES, ListKind.BY_HAND):
             for server in [server for server in self.servers if server not in listed]:
-                self.lose(now, server, Phase.GONE, left)
+                self.miss(now, server, Phase.GONE, left)
         self.servers.update(joined)
+        self.keep_ready()
+        return [server for server in joined if server in self.servers], list(left)
+
+    def keep_ready(self):
         self.servers = {server: None for server in sorted(self.servers, key=lambda server: server.name)
                         if server.phase is Phase.READY}
-        return [server for server in joined if server in self.servers], list(left)
+
+    def miss(self, now, server, phase, left):
+        """Where only draining binds, a list without a server is one witness: it leaves when it also gives no
+        answer. One that was seen draining is never ready here, so no silence of a list brings it back."""
+        if phase is Phase.GONE and not self.gone_binds:
+            server.doubted = True
+        else:
+            self.lose(now, server, phase, left)
 
     @staticmethod
     def lose(now, server, phase, left):
@@ -485,6 +497,57 @@
         server.credit -= 1.0
 
 
+class DialBudget:
+    """Rule 5, where it is stated: within any `span`, the further dials of this proxy number at most `free` plus
+    `share` of the sessions it took. Dearer sessions go first: a cheaper one is dialled again only with what
+    the dearer ones leave, at the rate at which they asked of late. No form of trouble is looked at; where
+    dear sessions ask much and then stop, cheap ones find too little for one span."""
+
+    def __init__(self, free, share, span):
+        self.free = free
+        self.share = share
+        self.span = span
+        self.taken = deque()        # when sessions came, of the last span
+        self.spent = deque()        # (when, utility of the session) of further dials
+        self.asked = deque()        # the same, of those wanted, made or not
+        self.withheld = 0
+
+    def took(self, now):
+        if self.span:
+            self.taken.append(now)
+
+    def wanted(self, now, sess):
+        if self.span:
+            self.asked.append((now, sess.listener.utility))
+        return self.allows(now, sess)
+
+    def allows(self, now, sess):
+        if not self.span or not sess.dials:
+            return True
+        # The carrier counts in units of its own: at both ends of the window the dearer reading counts.
+        while self.taken and self.taken[0] <= now - self.span + 1.0:
+            self.taken.popleft()
+        for kept in (self.spent, self.asked):
+            while kept and kept[0][0] < now - self.span - 1.0:
+                kept.popleft()
+        utility = sess.listener.utility
+        dearer = [sum(other > utility for _, other in kept) for kept in (self.asked, self.spent)]
+        room = self.free + self.share * len(self.taken) - len(self.spent) - max(0, dearer[0] - dearer[1])
+        if room < 1.0:
+            self.withheld += 1
+        return room >= 1.0
+
+    def dialled(self, now, sess):
+        if self.span and sess.dials:
+            self.spent.append((now, sess.listener.utility))
+
+    def never_sent(self, sess):
+        """The carrier made nothing of it: it doesn't count."""
+        mark = (sess.dials[-1].sent, sess.listener.utility)
+        if len(sess.dials) > 1 and mark in self.spent:
+            self.spent.remove(mark)
+
+
 class Stage:
     """One of the stages a session passes; results come back through them in reverse."""
 
@@ -558,8 +621,10 @@
 class Placement(Stage):
     """Names the server: the table's for the first dial, those of the slots after it for further ones."""
 
-    def __init__(self, actions, table, levels, roster, health, cold, probes, most_dials, most_asked, recent):
+    def __init__(self, actions, table, levels, roster, health, cold, budget, probes, most_dials, most_asked,
+                 recent):
         self.actions = actions
+        self.budget = budget
         self.probes = probes
         self.most_asked = most_asked
         self.recent = recent
@@ -673,8 +738,9 @@
 
     def back(self, now, sess, outcome):
         sensible = outcome is Outcome.CONNECT_FAILED or not self.health.shared_trouble(now)
-        possible = len(sess.dials) < self.most_dials and sess.deadline > now
-        if sensible and possible and outcome is not Outcome.CANCELLED:
+        possible = (len(sess.dials) < self.most_dials and sess.deadline > now
+                    and outcome not in (None, Outcome.CANCELLED))
+        if sensible and possible and self.budget.wanted(now, sess):
             sess.choices = sess.choices or self.choices(now, sess)
             self.go(now, sess)
         else:
@@ -684,8 +750,9 @@
 class Dialling(Stage):
     """Sends one dial at a time, and judges how it ended."""
 
-    def __init__(self, actions, table, levels, health, cold, alive):
+    def __init__(self, actions, table, levels, health, cold, budget, alive):
         self.levels = levels
+        self.budget = budget
         self.alive = alive
         self.actions = actions
         self.table = table
@@ -693,6 +760,9 @@
         self.cold = cold
 
     def enter(self, now, sess):
+        if not self.budget.allows(now, sess):
+            return self.before.back(now, sess, None)
+        self.budget.dialled(now, sess)
         sess.dials.append(Dial(sess.server, now))
         self.cold.dialled(now, sess.server)
         left = sess.deadline - now
@@ -712,6 +782,8 @@
     def back(self, now, sess, outcome):
         dial = sess.dials[-1]
         dial.may_have_run = not outcome.never_ran
+        if outcome is Outcome.NEVER_SENT:
+            self.budget.never_sent(sess)
         if outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.OVERDUE):
             self.health.dialled(now, dial.server, False)
         self.before.back(now, sess, outcome)
@@ -755,7 +827,7 @@
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
-                 longest_wait, crossing_price, move_price, passes_through):
+                 longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True):
         self.actions = actions
         self.passes_through = passes_through
         self.uniform = rng.uniform
@@ -766,16 +838,18 @@
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK,
                                  late=0.5 * self.TICK, full=0.8, late_for=1.5 * self.TICK, floor=5.0)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
-                             sized, rng.uniform)
+                             sized, rng.uniform, gone_binds)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
+        self.budget = DialBudget(*(budget or (0.0, 0.0, 0.0)))
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
                               least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.cold,
-                                   self.probes, most_dials, most_asked=4, recent=0.4 * self.TICK)
-        self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, alive=self.TICK)
+                                   self.budget, self.probes, most_dials, most_asked=4, recent=0.4 * self.TICK)
+        self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, self.budget,
+                                 alive=self.TICK)
         self.next_probes = deque()
         self.first = admission
         for earlier, later in ((admission, self.placement), (self.placement, self.dialling)):
@@ -817,6 +891,7 @@
     def on_session(self, now, sess):
         # Clients that come again pay for nothing: in trouble each comes many times. Packets of open
         # connections pay: a proxy that takes over from another knows little of what it is handed.
+        self.budget.took(now)
         if sess.mid_flow or not (sess.repeat or sess.returning):
             self.probes.session(self.roster.servers)
         self.first.enter(now, sess)
@@ -846,6 +921,8 @@
         if closed or sess.ended:
             self.on_hang_up(now, sess)
         else:
+            if outcome is Outcome.CONNECT_FAILED:
+                self.second_witness(now, sess.server)
             self.dialling.back(now, sess, outcome)
 
     def on_hang_up(self, now, sess):
@@ -872,8 +949,17 @@
         elif outcome is not Outcome.FULL:
             # One that has too many probes to answer is not a silent one.
             server.silent += 1
+            self.second_witness(now, server)
         self.placement.answered(now, server, outcome in (Outcome.COMPLETED, Outcome.FULL))
 
+    def second_witness(self, now, server):
+        if server.doubted:
+            left = {}
+            self.roster.lose(now, server, Phase.GONE, left)
+            self.roster.keep_ready()
+            self.table.update(now, [], left, self.roster.servers)
+            self.actions.log("list: 1 left, it gives no answer either")
+
     def on_report(self, now, server, report):
         self.levels.sample(now, server, report)
 
