Servers of which nothing is known are not dialled after full ones

Change: in has_room a server without a figure, where probes are allowed, has no room unless it is the group's or key's home. Home keeps 0.9 of its room also when the group is held elsewhere; other servers take a new group up to 0.65 (0.8 before). Test: full_and_unknown, both halves fail before.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -461,8 +461,24 @@
     return d.lines
 
 
+def full_and_unknown():
+    d = Drive(loads=dict.fromkeys("abcdefgh", 0.9))
+    d.list(*d.loads, kind=ListKind.CACHED)
+    d.say("four were asked and are full, of the others nothing is known:")
+    d.session("any")
+    d.loads = dict.fromkeys(d.loads, 0.7)
+    d.until(1000.0)
+    group = next(str(name) for name in range(99) if d.balancer.table.home[_slot(d, str(name))] is d.servers["a"])
+    held = d.session("held elsewhere", group=group)
+    d.balancer.on_open_session(d.now, held, d.servers["b"])
+    d.until(3000.0)
+    d.say("home keeps its room for a group that is held elsewhere too:")
+    d.session("member", group=group)
+    return d.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
+    full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -722,14 +722,15 @@
                 and self.cold.allows(now, server))
 
     def has_room(self, now, sess, server):
-        # One that holds the group takes its member for far less than one that does not. Where none is held
-        # through this proxy, among hundreds it is likely held through others, where its slot leads.
-        holders = self.table.holders.get(sess.group)
-        if sess.group is None or holders and server in holders:
-            part = 1.0
-        else:
-            part = 0.9 if not holders and server is self.table.home[sess.slot] else 0.8
-        return (self.levels.expected(now, server) < self.levels.full * part
+        # One that holds the group takes its member for far less than one that does not. What is not held
+        # through this proxy is likely held through others, where its slot leads.
+        holders = self.table.holders.get(sess.group, ())
+        home = server is self.table.home[sess.slot]
+        part = 1.0 if sess.group is None or server in holders else 0.9 if home else 0.65
+        # Of whom nothing is told after others were full, the same is to be expected: dialled unseen they took
+        # what no other had room for, and each new holder of a group added its cost to a full fleet.
+        known = home or not self.probes.allowed or self.levels.figure(now, server) is not None
+        return (known and self.levels.expected(now, server) < self.levels.full * part
                 and not self.levels.late_now(now, server))
 
     def dial(self, now, sess, server):
