Slow ways come last, home is the first server that is well, nines keep more room

Cause: LoadLevels.late_now forgets after 1.5 s and knows only servers where a connection stands; nothing looked at how long a probe takes. Placement.has_room called the listed owner of a slot home, also one that no session can use. Change: Ways keeps how long the last probes took, by server and by zone (for those not asked of late); where that alone is over the message target the server comes after all that answer in time, and is dialled when these are full. Taken back by the first quick answer. Home is the first of the slot's servers that is well and near enough. Where the goal counts nines, full is 0.8 less 0.3 of their weight.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -42,6 +42,7 @@
         self.names = {}
         self.servers = {}
         self.probes = 0
+        self.delays = {}        # name -> ms until a probe is answered
         self.answers = True
         self.loud = True
         self.balancer = Balancer(self, random.Random(seed), **{**USUAL, **settings})
@@ -67,6 +68,12 @@
         self.probes += 1
         if not self.answers:
             return
+        if server.name in self.delays:
+            self.alarms.append((self.now + self.delays[server.name], len(self.alarms), server))
+        else:
+            self.answer(server)
+
+    def answer(self, server):
         load = self.loads.get(server.name)
         answer = Outcome.OVERDUE if load is None else Outcome.COMPLETED
         self.balancer.on_probed(self.now, server, answer, [load])
@@ -115,7 +122,10 @@
             alarm = min(self.alarms)
             self.alarms.remove(alarm)
             self.now = max(self.now, alarm[0])
-            self.balancer.on_alarm(self.now, alarm[2])
+            if isinstance(alarm[2], Server):
+                self.answer(alarm[2])
+            else:
+                self.balancer.on_alarm(self.now, alarm[2])
         self.now = then
 
     def pass_time(self, then):
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -123,8 +123,7 @@
     prices = settings.part("prices")
     report = settings.part("report")
     goal = settings.part("goal")
-    for key, default in (("logLossPart", 0.0), ("ninesFull", 3.0)):
-        goal.number(key, default)       # read to be checked: what is decided does not hang on them
+    goal.number("ninesFull", 3.0, 1e-3, 1e3)       # read to be checked: nothing decided hangs on how many
     may_probe = limits.flag("mayProbe")
     reported = {"inline": True, "on_probe": may_probe}.get(report.text("how", "off"), False)
     return {
@@ -139,6 +138,7 @@
         "crossing_price": prices.number("crossZone", 0.0), "move_price": prices.number("moves", 0.0),
         "budget": read_budget(duties), "gone_binds": not duties.flag("onlyDrainingBinds"),
         "longest_wait": limits.ms("maxRetryAfterS", 0.0) if limits.flag("retryAfter") else 0.0,
+        "nines": goal.number("logLossPart", 0.0, 0.0, 1.0),
         "passes_through": settings.part("familyInfo").text("mode", "proxy") == "pass"}
 
 
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -83,6 +83,13 @@
     move: Price = 0.0
 
 
+class Goal(Table):
+    """How service is judged, as far as it changes what is decided."""
+
+    nines: Share = 0.0
+    nines_full: Annotated[float, Meta(gt=0, le=1000)] = 3.0
+
+
 class File(Table):
     """An installation's proxy."""
 
@@ -101,6 +108,7 @@
     limits: Limits = field(default_factory=Limits)
     fleet: Fleet = field(default_factory=Fleet)
     prices: Prices = field(default_factory=Prices)
+    goal: Goal = field(default_factory=Goal)
 
 
 REPEATS = {"repeatable": "retryable", "referenced": "dedup", "once-only": "fragile"}
@@ -168,6 +176,7 @@
                             "onlyDrainingBinds": fleet.only_draining_binds,
                             **({"ratioSpanS": fleet.further_dials_s, "freeResends": fleet.further_dials_free,
                                 "resendRatio": fleet.further_dials_share} if fleet.further_dials_s else {})},
+            "goal": {"logLossPart": file.goal.nines, "ninesFull": file.goal.nines_full},
             "prices": {"crossZone": file.prices.crossing, "moves": file.prices.move},
             "report": {"how": "on_probe" if fleet.probes else "off", "names": fleet.report_fields},
             "familyInfo": {"mode": "pass" if file.packets_pass else "proxy", "groups": file.groups,
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -74,6 +74,7 @@
     pull: float = 1.0                   # what they count for
     samples: deque = field(default_factory=lambda: deque(maxlen=2))     # (time, load figure)
     probed: float | None = None         # when the probe that is out was sent
+    took: deque = field(default_factory=lambda: deque(maxlen=2))    # (time, ms until a probe was answered)
     asked: float = -math.inf            # when the last probe was sent
     silent: int = 0                     # probes without an answer since the last one answered
     results: deque = field(default_factory=lambda: deque(maxlen=8))     # (time, went well)
@@ -111,6 +112,8 @@
     dials: list = field(default_factory=list)
     choices: Iterator[Server] | None = None     # whom to try next
     spare: Server | None = None         # looked ill: to be dialled where no server that is well was met
+    far: Server | None = None           # has room, but the way there is slow
+    home: Server | None = None          # first of those it may have that are well
     met_full: bool = False              # a server that is well had no room for it
     asked: int = 0                      # servers probed for it
     accepted: float | None = None       # when
