Strangers to a slot's order get less room and leave an overdriven server first

Change: the room a server leaves for a group falls with its place in the order that every proxy finds alike: 0.85 of full less 0.07 a place, 0.45 at least (0.85 at home, 0.65 elsewhere before); connections that are moved off an overdriven server are those that are not at home there first.

--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -114,6 +114,7 @@
     spare: Server | None = None         # looked ill: to be dialled where no server that is well was met
     far: Server | None = None           # has room, but the way there is slow
     home: Server | None = None          # first of those it may have that are well
+    place: int = 0
     met_full: bool = False              # a server that is well had no room for it
     asked: int = 0                      # servers probed for it
     accepted: float | None = None       # when
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -701,6 +701,7 @@
                     sess.spare = server
                 continue
             sess.home = sess.home or (None if slow else server)
+            if server is not asked: sess.place += not slow
             if server is not asked and not slow and self.should_ask(now, sess, server):
                 return self.ask(now, sess, server)
             elif not self.has_room(now, sess, server):
@@ -760,7 +761,7 @@
         # through this proxy is likely held through others, where its slot leads.
         holders = self.table.holders.get(sess.group, ())
         home = server is sess.home
-        part = 1.0 if sess.group is None or server in holders else 0.85 if home else 0.65
+        part = 1.0 if sess.group is None or server in holders else max(0.45, 0.85 - 0.07 * (sess.place - 1))
         # Of whom nothing is told after others were full, the same is to be expected: dialled unseen they took
         # what no other had room for, and each new holder of a group added its cost to a full fleet.
         known = home or not self.probes.allowed or self.levels.figure(now, server) is not None
@@ -1081,7 +1082,8 @@
             # By chance in proportion: rounded up by hundreds of proxies that hold one each, all would go.
             share = excess if load >= 1.0 else excess / 2
             count = int(len(server.sessions) * share + self.uniform(0.0, 1.0))
-            for sess in sorted(server.sessions, key=lambda sess: -server.draws[sess.slot])[:count]:
+            for sess in sorted(server.sessions, key=lambda sess: (self.table.home[sess.slot] is server,
+                                                                  -server.draws[sess.slot]))[:count]:
                 self.actions.move(sess)
             if count:
                 server.move_after = now + 2 * self.TICK
