A server that was full a moment ago is not asked again

Change: in Placement.should_ask a figure of the last 1.6 s that leaves no room counts as known; one that does leave room is asked for again after 0.4 s as before.

--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -723,8 +723,11 @@
         Among hundreds of proxies each sees too few sessions to pay for following every server's load,
         so what the others sent meanwhile would be met blindly; a server that went silent shows as well.
         Not with little time left, and only a few a session: with none left, unknown ones are dialled."""
+        age = self.levels.age(now, server)
+        # One that was full a moment ago is hardly empty now: sessions that come again found the same ones full.
         return (self.probes.allowed and self.levels.of_capacity and sess.asked < self.most_asked
-                and self.levels.age(now, server) > self.recent and not self.levels.late_now(now, server)
+                and age > self.recent and not self.levels.late_now(now, server)
+                and (age > 4 * self.recent or self.has_room(now, sess, server))
                 and sess.deadline - now > sess.listener.dial_timeout / 2)
 
     def ask(self, now, sess, server):
