Load reports are doubted, both ways, where messages of own connections say otherwise

Balancer.relieve takes 1.0 for a late server only where it has no figure, so those that lie are never relieved, and 1.5 s after each notice they get new sessions. Ruled out: slow ways (same zone, probes answer in a few ms); the live weight in the list, which follows the report. Change: LoadLevels.told_late multiplies the reports of a server whose messages miss their target again within 3 s until they say near full; a second without a notice takes 15% of it back (7% where no own connection stands there). One that claims to be past its capacity while own connections of 5 s and more hear nothing late is believed less by a tenth a second, to a half; the first late message sets that right. A new process starts believed; where the way alone is slow the server is not doubted. Tests: untrue_reports (before: sessions go on to the late server, none ever to the one that says too much).

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from collections import Counter
 
 import pytest
 from drive import Drive, kept
@@ -507,8 +508,43 @@
     return d.lines
 
 
+def untrue_reports():
+    d = Drive(loads=dict.fromkeys(FLEET, 0.4), tells_late=True)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.loud = False
+    held = [d.accept(f"s{i}") for i in range(24)]
+    d.pass_time(2000.0)
+    d.loud = True
+    on = {name: [sess for sess in held if sess.server is d.servers[name]] for name in FLEET}
+
+    def placed(text):
+        d.loud = False
+        new = [d.session(f"{text} {i}", key=f"{i}") for i in range(40)]
+        d.loud = True
+        counts = Counter(sess.server.name for sess in new if not sess.ended)
+        d.say(f"{text}: of 40 sessions a gets {counts['a']}, b {counts['b']}; "
+              f"reports times {d.servers['a'].doubt:.2f}, {d.servers['b'].doubt:.2f}")
+        for sess in new:
+            d.balancer.on_hang_up(d.now, sess)
+
+    placed("all report 0.4")
+    for _ in range(3):
+        d.balancer.on_notice(d.now, on["a"][0], message_ms=400.0)
+        d.pass_time(d.now + 1000.0)
+    d.pass_time(d.now + 1000.0)
+    placed("messages to a were late, 1 s ago the last")
+    d.pass_time(d.now + 6000.0)
+    placed("6 s without one")
+    d.loads["b"] = 1.1
+    d.pass_time(d.now + 2000.0)
+    placed("b says it is full")
+    d.pass_time(d.now + 13_000.0)
+    placed("yet all its messages are in time")
+    return [line for line in d.lines if "moved off" not in line]
+
+
 SCENARIOS = {run.__name__: run for run in (
-    slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
+    untrue_reports, slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -138,6 +138,7 @@
         "crossing_price": prices.number("crossZone", 0.0), "move_price": prices.number("moves", 0.0),
         "budget": read_budget(duties), "gone_binds": not duties.flag("onlyDrainingBinds"),
         "longest_wait": limits.ms("maxRetryAfterS", 0.0) if limits.flag("retryAfter") else 0.0,
+        "tells_late": settings.part("familyInfo").flag("tellsDelay"),
         "nines": goal.number("logLossPart", 0.0, 0.0, 1.0),
         "passes_through": settings.part("familyInfo").text("mode", "proxy") == "pass"}
 
@@ -299,7 +300,7 @@
     listeners = read_listeners(settings)
     if not listeners:
         raise Misconfigured("settings.listeners: names none")
-    balancer = balancer_settings(settings)
+    balancer = {**balancer_settings(settings), "tells_late": True}     # a proxy on sockets measures them
     sockets = allowed.count("sockets", 1024, least=64)
     where = {key: None if top.values.get(key) is False and key == "discovery" else
              address(top.text(key, instead.get(key)), key) for key in ("listen", "discovery")}
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -82,6 +82,7 @@
     credit: float = 0.0                 # dials that may go there while it is cold
     credited: float = 0.0               # when that was worked out
     late: float = -math.inf             # when a message there was last said to miss its target
+    doubt: float = 1.0                  # what its reports are multiplied by
     heard: float = -math.inf            # when anything last came from there
     unheard: "Session | None" = None      # a line of it waits for an answer since
     shift_after: float = 0.0
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -218,7 +218,8 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    def __init__(self, names, proxies, fresh, together, late, full, late_for, floor):
+    def __init__(self, names, proxies, fresh, together, late, full, late_for, floor, tells_late):
+        self.tells_late = tells_late
         self.together = together
         self.late_for = late_for
         self.late = late
@@ -246,7 +247,7 @@
         if not server.samples or server.samples[-1][0] <= now - self.fresh:
             return None
         since = server.samples[-1][0] - self.together
-        return fmean([figure for when, figure in server.samples if when > since])
+        return fmean([figure for when, figure in server.samples if when > since]) * server.doubt
 
     def figures(self, now, servers):
         """Of those that have one: with hundreds of proxies each sees few servers at a time."""
@@ -269,6 +270,28 @@
         since = server.samples[-1][0] - self.late
         return figure + sum(when > since for when in server.dialled) / max(self.floor, self.bearable)
 
+    def told_late(self, now, server, times):
+        """Evidence before belief: where messages miss their target a server is near full at least, whatever it
+        reports, and live weights with it; `times` too late, it is past that. Each second without such a notice
+        takes a part of the doubt back, more where connections of this proxy stand there to tell."""
+        again = now - server.late < 2 * self.late_for
+        server.late = now
+        figure = self.figure(now, server) if self.of_capacity else None
+        if figure and times and again:
+            server.doubt = min(8.0, server.doubt * max(1.0, 0.95 * min(1.0, times) / figure))
+
+    def believe(self, now, servers):
+        """Also the other way: one that says it is past its capacity while messages of this proxy's connections
+        there are in time says too much. Where late ones are not told, nothing speaks against it."""
+        for server in servers:
+            if server.doubt > 1.0 and not self.late_now(now, server):
+                server.doubt = max(1.0, server.doubt * (0.85 if server.sessions else 0.93))
+            elif self.tells_late and now - server.late > self.fresh and server.doubt <= 1.0:
+                first = next(iter(server.sessions), None)
+                over = (self.figure(now, server) or 0.0) >= server.doubt
+                if not over or first and first.accepted is not None and now - first.accepted > self.fresh:
+                    server.doubt = max(0.5, server.doubt * 0.9) if over else min(1.0, server.doubt * 1.01)
+
     def late_now(self, now, server):
         """Told, free of any probe, that messages there miss their target: it is full, by how much unknown."""
         return now - server.late < self.late_for
@@ -359,7 +382,7 @@
                     server.took.clear()
                     server.results.clear()
                     server.dialled.clear()
-                    server.silent, server.probed = 0, None
+                    server.silent, server.probed, server.doubt = 0, None, 1.0
                 server.phase = Phase.READY
             elif server.phase is Phase.READY or server in self.servers:
                 self.miss(now, server, phase, left)
@@ -867,7 +890,7 @@
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
-                 nines=0.0):
+                 nines=0.0, tells_late=False):
         self.actions = actions
         self.passes_through = passes_through
         self.uniform = rng.uniform
@@ -876,7 +899,8 @@
                                zone=zone, near=self.nearness(crossing_price, move_price),
                                reach=64)
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK,
-                                 late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK, floor=5.0)
+                                 late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK, floor=5.0,
+                                 tells_late=tells_late)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
                              sized, rng.uniform, gone_binds)
         self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
@@ -980,7 +1004,9 @@
         if load is not None:
             sess.load = load
         if message_ms is not None and message_ms > sess.listener.message_target and sess.server:
-            sess.server.late = now
+            # Where the way alone takes so long the server is not to blame.
+            far = self.ways.slow(now, sess.server, sess.listener.message_target)
+            self.levels.told_late(now, sess.server, 0.0 if far else message_ms / sess.listener.message_target)
 
     def on_probed(self, now, server, outcome, report):
         sent, server.probed = server.probed, None
@@ -1048,6 +1074,7 @@
 
     def tick(self, now):
         self.table.close(now)
+        self.levels.believe(now, self.roster.servers)
         warm = [server for server in self.roster.servers if not self.cold.cold(now, server)]
         self.levels.learn(now, warm)
         levels = self.levels.levels(now, self.roster.servers)
