A server that failed is tried by one session at a time; few that fail are no shared trouble

Cause: Health.shared_trouble counts dials, and a client that loops between its server's set-up and crash makes half of them bad with two servers; Health.failing lets all sessions back 3 s after the last failure, together; a reset of a connection older than 5 s spoke against nobody. Change: shared trouble needs half of the servers met to fail as well as half of the dials. A server that failed is tried by one session at a time; until that one has stood 2 s nothing else goes there; each separate failure among the last eight doubles the wait for a try (1 s after the first). What breaks together failed once. Any reset of a placed connection speaks against its server. Guards as well against crashes that no list tells, servers that err quickly and those that shed what is heaviest. Harm: where a server drops single connections for a reason of their own, it is tried again a second later. Tests: fails_by_turns (before 16 of 20 sessions return together), few_servers_fail (before: shared trouble).

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -543,8 +543,55 @@
     return [line for line in d.lines if "moved off" not in line]
 
 
+def fails_by_turns():
+    d = Drive(loads=dict.fromkeys(FLEET, 0.3))
+    d.list(*FLEET, kind=ListKind.CACHED)
+    a = d.servers["a"]
+    for turn in range(3):
+        d.loud = False
+        held = [d.accept(f"turn {turn} s{i}") for i in range(60)]
+        d.until(d.now + 1000.0)
+        broken = [sess for sess in held if sess.server is a and not sess.ended]
+        for sess in held:
+            d.outcome(sess, Outcome.RESET if sess.server is a else Outcome.COMPLETED, closed=True)
+        since = d.now
+        while not (tries := [d.accept(f"turn {turn} {d.now} t{i}", key=f"t{i}") for i in range(20)]) or \
+                not [sess for sess in tries if sess.server is a]:
+            for sess in tries:
+                d.outcome(sess, Outcome.COMPLETED, closed=True)
+            d.until(d.now + 250.0)
+        d.loud = True
+        d.say(f"{len(broken)} connections broke at once; {d.now - since:.0f} ms later "
+              f"{sum(sess.server is a for sess in tries)} of 20 sessions tries it")
+        d.loud = False
+        for sess in tries:
+            d.outcome(sess, Outcome.COMPLETED, closed=True)
+        d.until(d.now + 2500.0)
+        tries = [d.accept(f"turn {turn} u{i}", key=f"t{i}") for i in range(20)]
+        d.loud = True
+        d.say(f"2.5 s later {sum(sess.server is a for sess in tries)} go there")
+        d.loud = False
+        for sess in tries:
+            d.outcome(sess, Outcome.COMPLETED, closed=True)
+    return d.lines
+
+
+def few_servers_fail():
+    d = Drive()
+    d.list(*"abcdefgh", kind=ListKind.CACHED)
+    health = d.balancer.health
+    for said, ends in (("two servers of five fail, with most dials", "c+ d+ e+ a- b- a- b- a-"),
+                       ("all fail but one dial", "c- d- e+ a- b- f- g-"),
+                       ("two met, both fail", "a- b-")):
+        d.now += 60_000.0
+        for end in ends.split():
+            health.dialled(d.now, d.servers[end[0]], end[1] == "+")
+        d.say(f"{said}: shared trouble {health.shared_trouble(d.now)}")
+    return d.lines
+
+
 SCENARIOS = {run.__name__: run for run in (
-    untrue_reports, slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
+    fails_by_turns, few_servers_fail, untrue_reports, slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -478,10 +478,11 @@
 class Health:
     """Who answers, judged by the last few dials and probes of this proxy alone."""
 
-    def __init__(self, rest, memory, shared_memory):
+    def __init__(self, pause, stood, memory, shared_memory):
+        self.pause = pause
+        self.stood = stood
         self.dials = deque(maxlen=16)
         self.shared_memory = shared_memory
-        self.rest = rest
         self.memory = memory
 
     def dialled(self, now, server, well):
@@ -492,17 +493,32 @@
         return server.silent >= 2
 
     def failing(self, now, server):
+        """No fixed time stands for its return: one session at a time tries it, and until that one has stood for
+        a while nothing else goes there; each failure among the last few doubles the wait for the next try."""
         recent = [(when, well) for when, well in server.results if when > now - self.memory]
         bad = [when for when, well in recent if not well]
-        return len(bad) >= 2 and 3 * len(bad) >= len(recent) and now - bad[-1] < self.rest
+        if len(bad) < 2 or 3 * len(bad) < len(recent):
+            return False
+        tries = [when for when, well in recent if well and when > bad[-1]]
+        if tries:
+            return now - tries[0] < self.stood
+        trial = server.dialled and bad[-1] < server.dialled[-1] > now - self.pause * 2
+        # What breaks together failed once.
+        failed = 1 + sum(later - earlier > self.pause for earlier, later in zip(bad, bad[1:]))
+        return trial or now - bad[-1] < self.pause * 2 ** (failed + 1)
 
     def shared_trouble(self, now):
         """Set-ups fail at many servers at once: what they all depend on is swamped, and dialling on
         would swamp it more."""
-        recent = [(server, well) for when, server, well in self.dials if when > now - self.shared_memory]
-        bad = dict.fromkeys(server for server, well in recent if not well)
-        # Two servers are enough: one proxy among hundreds sees hardly more before its clients give up.
-        return len(bad) >= 2 and 2 * sum(not well for _, well in recent) >= len(recent)
+        met = {}
+        for when, server, well in self.dials:
+            if when > now - self.shared_memory:
+                met.setdefault(server, []).append(well)
+        # By servers too, not by dials alone: a few that fail by turns take many dials and are no common cause.
+        # Two are enough: one proxy among hundreds sees hardly more before its clients give up.
+        bad = sum(2 * sum(well) <= len(well) for well in met.values())
+        dials = list(chain.from_iterable(met.values()))
+        return bad >= 2 and 2 * bad >= len(met) and 2 * sum(dials) <= len(dials)
 
     def ill(self, now, server):
         return self.silent(server) or self.failing(now, server)
@@ -552,45 +568,44 @@
     dear sessions ask much and then stop, cheap ones find too little for one span."""
 
     def __init__(self, free, share, span):
-        self.free = free
-        self.share = share
-        self.span = span
-        self.taken = deque()        # when sessions came, of the last span
-        self.spent = deque()        # (when, utility of the session) of further dials
-        self.asked = deque()        # the same, of those wanted, made or not
+        self.free, self.share, self.span = free, share, span
+        most = None if span else 0
+        self.taken = deque(maxlen=most)     # when sessions came, of the last span
+        self.spent = deque(maxlen=most)     # (when, utility of the session) of further dials
+        self.asked = deque(maxlen=most)     # the same, of those wanted, made or not
         self.withheld = 0
 
-    def took(self, now):
-        if self.span:
-            self.taken.append(now)
-
     def wanted(self, now, sess):
-        if self.span:
-            self.asked.append((now, sess.listener.utility))
+        self.asked.append((now, sess.listener.utility))
         return self.allows(now, sess)
 
-    def allows(self, now, sess):
-        if not self.span or not sess.dials:
-            return True
+    def took(self, now):
+        self.taken.append(now)
+        self.forget(now)
+
+    def forget(self, now):
         # The carrier counts in units of its own: at both ends of the window the dearer reading counts.
         while self.taken and self.taken[0] <= now - self.span + 1.0:
             self.taken.popleft()
         for kept in (self.spent, self.asked):
             while kept and kept[0][0] < now - self.span - 1.0:
                 kept.popleft()
+
+    def allows(self, now, sess):
+        if not self.span or not sess.dials:
+            return True
+        self.forget(now)
         utility = sess.listener.utility
         dearer = [sum(other > utility for _, other in kept) for kept in (self.asked, self.spent)]
         room = self.free + self.share * len(self.taken) - len(self.spent) - max(0, dearer[0] - dearer[1])
-        if room < 1.0:
-            self.withheld += 1
+        self.withheld += room < 1.0
         return room >= 1.0
 
     def dialled(self, now, sess):
-        if self.span and sess.dials:
+        if sess.dials:
             self.spent.append((now, sess.listener.utility))
 
     def never_sent(self, sess):
-        """The carrier made nothing of it: it doesn't count."""
         mark = (sess.dials[-1].sent, sess.listener.utility)
         if len(sess.dials) > 1 and mark in self.spent:
             self.spent.remove(mark)
@@ -724,21 +739,19 @@
                     sess.spare = server
                 continue
             sess.home = sess.home or (None if slow else server)
-            if server is not asked: sess.place += not slow
+            sess.place += not slow and server is not asked
             if server is not asked and not slow and self.should_ask(now, sess, server):
                 return self.ask(now, sess, server)
-            elif not self.has_room(now, sess, server):
+            if not self.has_room(now, sess, server):
                 sess.met_full = True
             elif not slow:
                 return self.dial(now, sess, server)
             elif sess.far is None:
                 sess.far = server
-        server, sess.far = sess.far, None
-        if server is not None and self.usable(now, sess, server):
-            return self.dial(now, sess, server)
-        server, sess.spare = sess.spare, None
-        if server is not None and not sess.met_full and self.usable(now, sess, server):
-            return self.dial(now, sess, server)
+        for server in (sess.far, None if sess.met_full else sess.spare):
+            if server is not None and self.usable(now, sess, server):
+                sess.far = sess.spare = None
+                return self.dial(now, sess, server)
         self.before.back(now, sess, None)
 
     def should_ask(self, now, sess, server):
@@ -786,11 +799,11 @@
         # One that holds the group takes its member for far less than one that does not. What is not held
         # through this proxy is likely held through others, where its slot leads.
         holders = self.table.holders.get(sess.group, ())
-        home = server is sess.home
         part = 1.0 if sess.group is None or server in holders else max(0.45, 0.85 - 0.07 * (sess.place - 1))
         # Of whom nothing is told after others were full, the same is to be expected: dialled unseen they took
         # what no other had room for, and each new holder of a group added its cost to a full fleet.
-        known = home or not self.probes.allowed or self.levels.figure(now, server) is not None
+        known = (server is sess.home or not self.probes.allowed or not self.levels.of_capacity
+                 or self.levels.figure(now, server) is not None)
         return (known and self.levels.expected(now, server) < self.levels.full * part
                 and not self.levels.late_now(now, server))
 
@@ -903,7 +916,7 @@
                                  tells_late=tells_late)
         self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
                              sized, rng.uniform, gone_binds)
-        self.health = Health(rest=3000.0, memory=10_000.0, shared_memory=5000.0)
+        self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE, shared_memory=5000.0)
         self.ways = Ways(fresh=5 * self.TICK)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         self.budget = DialBudget(*(budget or (0.0, 0.0, 0.0)))
@@ -980,9 +993,10 @@
 
     def on_outcome(self, now, sess, outcome, closed):
         self.forget(sess)
-        if outcome is Outcome.RESET and sess.accepted is not None and now - sess.accepted < self.EARLY:
+        if outcome is Outcome.RESET and sess.accepted is not None:
             self.health.dialled(now, sess.server, False)
-            self.first.failed(now)
+            if now - sess.accepted < self.EARLY:
+                self.first.failed(now)
         if closed or sess.ended:
             self.on_hang_up(now, sess)
         else:
