--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -438,7 +438,7 @@
         link.say("PONG active=3,x0=0.95,new=1")
         client.hear()
         client = rig.open("k2")
-        time.sleep(0.5)     # the figure grows old
+        time.sleep(1.7)     # the figure grows old, also for one that was full
         client = rig.open("k3")
         link.hear()
         link.say("PONG active=3,x0=0.2")
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -107,7 +107,8 @@
 def read_budget(duties):
     """(further dials free of any traffic, and for each session taken, within how many ms), or None where none
     is stated."""
-    stated = [key for key in ("freeResends", "resendRatio", "ratioSpanS") if duties.values.get(key) is not None]
+    stated = [key for key in ("freeResends", "resendRatio", "ratioSpanS")
+              if duties.values.get(key) is not None]
     if not stated:
         return None
     if "ratioSpanS" not in stated:
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -114,7 +114,8 @@
         figures = {name: number(rest[name], 1e-6, 1e9) for name in ("bearable", "window")}
         times = {name: -math.inf if rest[name] is None else number(rest[name])
                  for name in ("cut_at", "next_at")}
-        further = [(number(when), number(utility)) for when, utility in rest.get("further", ())]     # a process from before the budget tells none
+        # A process from before the budget tells none.
+        further = [(number(when), number(utility)) for when, utility in rest.get("further", ())]
         earned, seen = number(rest["earned"], -1e9, 1e9), whole(rest["seen"])
         yield proxy.servers.update, by_name
         yield proxy.addresses.update, addresses
--- a/wheathill/handover/upgrade.py
+++ b/wheathill/handover/upgrade.py
@@ -73,8 +73,8 @@
         return BUSY if self.giver else None
 
     def asked(self, giver):
-        """Nobody is let in any more. What may go to cold servers and what further dials are left is told whole:
-        none of it stays here."""
+        """Nobody is let in any more. What may go to cold servers, and what further dials are left, is told
+        whole: none of it stays here."""
         self.giver = giver
         self.proxy.door.hold(True)
 
--- a/wheathill/lab/judges.py
+++ b/wheathill/lab/judges.py
@@ -312,8 +312,8 @@
 
 
 class BudgetOfDials(Judge):
-    """Rule 5, where it is stated. In any span the dials of one proxy beyond each session's first number at most
-    `free` and `share` of the sessions it took. Seen where they arrive, so a dial that reached nobody is not
+    """Rule 5, where it is stated. In any span the dials of one proxy beyond each session's first number at
+    most `free` and `share` of the sessions it took. Seen where they arrive, so a dial that reached nobody is not
     counted, and both ends of the span give way by the slack."""
 
     rule = 5
@@ -354,8 +354,8 @@
             taken.popleft()
         allowed = self.free + self.share * len(taken)
         if len(further) > allowed:
-            self.breach(now, f"{len(further)} further dials of {proxy} within {self.span:.0f} ms, {allowed:.1f} "
-                             "allowed", sess, server)
+            self.breach(now, f"{len(further)} further dials of {proxy} within {self.span:.0f} ms, "
+                             f"{allowed:.1f} allowed", sess, server)
 
 
 class Faults(Judge):
@@ -382,7 +382,8 @@
         self.breach(now, f"{proxy} ended by itself with {code}")
 
 
-def judge(events, now, *, slack, repeats, grace, multiple, window, proxies, budget=None, gone_binds=True, kept=8):
+def judge(events, now, *, slack, repeats, grace, multiple, window, proxies, budget=None, gone_binds=True,
+          kept=8):
     """All breaches of a run that ended at `now`, in order of time. `budget`: (free, share, span in ms)."""
     breaches, histories = [], {}
     common = breaches, histories, slack
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -79,7 +79,8 @@
                               share=kind.weight, born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
         held = any(event.do == "proxy-upgrade" for event in script.event)
-        only = [event.do for event in script.event if event.do in ("proxy-upgrade", "by-hand", "callers", "way")]
+        only = [event.do for event in script.event
+                if event.do in ("proxy-upgrade", "by-hand", "callers", "way")]
         if only and world.name != "virtual":
             raise Misconfigured(f"event: {only[0]} is played in the virtual world only")
         front = world.host("front", None, self.limits)
@@ -318,8 +319,8 @@
         return self.change(self.gateways[on], "tells", event.factor)
 
     def do_flap(self, event, on):
-        """It dies and is back cold by turns of `within_s`, of which it is down for `share`; what the list tells
-        is only that it was found dead in time. Ends with its next return after `for_s`."""
+        """It dies and is back cold by turns of `within_s`, of which it is down for `share`; the list tells only
+        that it was found dead in time. Ends with its next return after `for_s`."""
         until = self.clock.now() + (event.for_s or self.script.seconds) * 1000
         turn, gateway = event.within_s * 1000, self.gateways[on]
         kind = self.kinds[on][0]
--- a/wheathill/lab/world.py
+++ b/wheathill/lab/world.py
@@ -716,7 +716,7 @@
     def slack(self, script):
         """One way and back between the farthest, and the jitter that is seldom passed."""
         net = script.network
-        # A way that a script makes worse delays what was sent in time: three losses in a row, if it loses any.
+        # A way that a script makes worse delays what was sent in time: three losses in a row, if it loses.
         worse = max((2 * event.wait_ms + 7 * self.net.RESEND * (event.share > 0)
                      for event in script.event if event.do == "way"), default=0.0)
         return 5.0 + 2 * max(net.same_ms, net.cross_ms, net.client_ms) * (1 + 8 * net.jitter) + worse
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -149,7 +149,10 @@
         return {"sessions": len(self.clients), "up": sum(client.up for client in self.clients.values()),
                 "placed": sum(len(server.sessions) for server in self.servers.values()),
                 "sockets": self.carrier.sockets, "servers": len(self.balancer.roster.servers),
-                "left_out": self.left_out(self.now())}
+                "left_out": self.left_out(self.now()),
+                "doubted": {server.name: round(server.doubt, 2) for server in self.balancer.roster.servers
+                            if server.doubt != 1.0},
+                "further_withheld": self.balancer.budget.withheld}
 
     def left_out(self, now):
         """The ready servers that nothing new goes to, by name, and why."""
@@ -433,6 +436,8 @@
 
     def dial(self, sess, server, time_out):
         client = self.clients[sess]
+        if len(sess.dials) > 1:
+            self.figures.count("further dials")
         if self.carrier.free <= -self.limits.spare_sockets / 2:
             self.clock.soon(self.no_socket, sess)
         else:
