One way in which a gateway of the lab starts anew; a mutant keeps no count it doesn't use

Need: do_flap wrote come_back again but for the registry, and the mutant that counts from the start held a number nobody read. Change: start_anew is what come_back and flap share.

--- a/wheathill/lab/mutants.py
+++ b/wheathill/lab/mutants.py
@@ -104,11 +104,9 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self.ever = 0
         self.balancer.budget.took = self.took
 
     def took(self, now):
-        self.ever += 1
         self.balancer.budget.free += self.balancer.budget.share
 
 
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scene.py
@@ -269,6 +269,11 @@
             self.registry.set(name, late=0.0, health="gone")
 
     def come_back(self, name):
+        self.start_anew(name)
+        self.set_ready(name, born_ms=self.world.wall())
+
+    def start_anew(self, name):
+        """Cold, and nobody is told yet."""
         gateway = self.gateways[name]
         gateway.host.come_back(True)
         gateway.begin(self.clock.now())
@@ -276,7 +281,6 @@
         self.record.note("host", name=name, state="up")
         self.record.note("cold", server=name, holds=kind.holds, warm_from=kind.warm_from,
                          warm=kind.warm_s * 1000)
-        self.set_ready(name, born_ms=self.world.wall())
 
     def set_ready(self, name, **more):
         self.record.note("ready", server=name)
@@ -322,23 +326,18 @@
         """It dies and is back cold by turns of `within_s`, of which it is down for `share`; the list tells only
         that it was found dead in time. Ends with its next return after `for_s`."""
         until = self.clock.now() + (event.for_s or self.script.seconds) * 1000
-        turn, gateway = event.within_s * 1000, self.gateways[on]
-        kind = self.kinds[on][0]
+        turn = event.within_s * 1000
 
         def down():
             if self.clock.now() >= until:
                 return
             self.record.note("host", name=on, state="killed")
-            gateway.host.kill()
+            self.gateways[on].host.kill()
             self.lost(on)
             self.clock.after(turn * event.share, up)
 
         def up():
-            gateway.host.come_back(True)
-            gateway.begin(self.clock.now())
-            self.record.note("host", name=on, state="up")
-            self.record.note("cold", server=on, holds=kind.holds, warm_from=kind.warm_from,
-                             warm=kind.warm_s * 1000)
+            self.start_anew(on)
             self.clock.after(turn * (1 - event.share), down)
         down()
 
