The lab is sorted into rooms: worlds, cast, scripts, judging, tools, cores

Need: a third world is to go in, and 23 files of 4,700 lines stood side by side; `beside` and `world` imported each other (world.HeldSeat looked `beside` up at its start, beside took Door, VirtualCarrier and VirtualHost). Change: files moved; `world` (742 lines) parts into clock, host, network, seat and virtual, HeldSeat went over to `beside`, which virtual imports and which imports no world. No line of behaviour changed.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,11 +10,11 @@
 
 from drive import kept
 from wheathill.config import Misconfigured
-from wheathill.lab import script as scripts
-from wheathill.lab.mutants import MUTANTS
-from wheathill.lab.run import play
-from wheathill.lab.scene import Scene
-from wheathill.lab.world import VirtualWorld
+from wheathill.lab.judging.mutants import MUTANTS
+from wheathill.lab.scripts import language as scripts
+from wheathill.lab.scripts.run import play
+from wheathill.lab.scripts.scene import Scene
+from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.admin import Call
 from wheathill.net.client import Client
 from wheathill.net.operators import OperatorsDoor
@@ -137,8 +137,8 @@
 
 def test_same_seed_same_bytes():
     def fingerprint(hash_seed, seed):
-        code = ("from wheathill.lab import script, run;"
-                f"print(run.play(script.read('{MUTANTS_SCRIPT}'), {seed}).figures['fingerprint'])")
+        code = ("from wheathill.lab.scripts import language, run;"
+                f"print(run.play(language.read('{MUTANTS_SCRIPT}'), {seed}).figures['fingerprint'])")
         return subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
                               env={**os.environ, "PYTHONHASHSEED": str(hash_seed)}).stdout
     assert fingerprint(1, 5) == fingerprint(2, 5) != fingerprint(1, 6)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,7 +3,7 @@
 import pytest
 
 from drive import kept
-from wheathill.lab.members import Cluster, measure
+from wheathill.lab.cores.members import Cluster, measure
 from wheathill.peers.membership import ALIVE, Member, Membership, Rumours
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,7 +4,7 @@
 import pytest
 
 from drive import kept
-from wheathill.lab.copies import Copies, converges
+from wheathill.lab.cores.copies import Copies, converges
 from wheathill.store.cells import LEASE, REGISTER, read
 from wheathill.store.replica import Replica
 
--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -8,11 +8,12 @@
 
 from drive import kept
 from wheathill.config import Limits
-from wheathill.lab import script as scripts
-from wheathill.lab.peers import Faults, SocketPeers, VirtualPeers
-from wheathill.lab.run import play
-from wheathill.lab.sockets import LabClock
-from wheathill.lab.world import VirtualWorld, raise_fault
+from wheathill.lab.cores.ways import Faults, SocketPeers, VirtualPeers
+from wheathill.lab.scripts import language as scripts
+from wheathill.lab.scripts.run import play
+from wheathill.lab.worlds.host import raise_fault
+from wheathill.lab.worlds.sockets import LabClock
+from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.machine import Machine
 
 LIMITS = Limits(sockets=100, connect=100.0, longest_dial=1000.0, idle=1000.0)
--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -66,8 +66,8 @@
 @click.option("--report", type=click.Path(), help="write a page with plots into this folder")
 def run(script, seed, world, policy, json_path, log_path, report):
     """Play SCRIPT once; exit with 1 if a rule was broken."""
-    from wheathill.lab import tool
-    sys.exit(tool.run(script, seed, world, policy, json_path, log_path, report))
+    from wheathill.lab.tools import experiments
+    sys.exit(experiments.run(script, seed, world, policy, json_path, log_path, report))
 
 
 @lab.command()
@@ -80,8 +80,8 @@
 @click.option("--json", "json_path", type=click.Path(), help="keep all figures there")
 def sweep(script, seeds, changes, policies, world, jobs, json_path):
     """Play SCRIPT over a grid of seeds, keys and policies; print medians and ranges."""
-    from wheathill.lab import tool
-    sys.exit(tool.sweep(script, seeds, changes, policies.split(","), world, jobs, json_path))
+    from wheathill.lab.tools import experiments
+    sys.exit(experiments.sweep(script, seeds, changes, policies.split(","), world, jobs, json_path))
 
 
 @lab.command()
@@ -89,5 +89,5 @@
 @click.argument("other", type=click.Path(exists=True))
 def compare(one, other):
     """Set the figures of two kept runs or sweeps side by side."""
-    from wheathill.lab import tool
-    sys.exit(tool.compare(one, other))
+    from wheathill.lab.tools import experiments
+    sys.exit(experiments.compare(one, other))
--- /dev/null
+++ b/wheathill/lab/cores/__init__.py
@@ -0,0 +1,1 @@
+"""Cores that live without sockets, each among many of its kind."""
--- a/wheathill/lab/copies.py
+++ b/wheathill/lab/cores/copies.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from wheathill.config import Limits
-from wheathill.lab.peers import Faults, VirtualPeers
-from wheathill.lab.world import VirtualWorld
+from wheathill.lab.cores.ways import Faults, VirtualPeers
+from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.store.replica import Replica
 from wheathill.store.sync import Sync
 
--- a/wheathill/lab/members.py
+++ b/wheathill/lab/cores/members.py
@@ -7,8 +7,8 @@
 from statistics import median
 
 from wheathill.config import Limits
-from wheathill.lab.peers import Faults, VirtualPeers
-from wheathill.lab.world import VirtualWorld
+from wheathill.lab.cores.ways import Faults, VirtualPeers
+from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.peers.membership import ALIVE, DEAD, SUSPECT, Membership
 
 USUAL = {"period": 1000.0, "patience": 300.0, "helpers": 3, "kept": 60_000.0, "sync_every": 10_000.0}
--- /dev/null
+++ b/wheathill/lab/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""The script language, and one play of a script."""
--- a/wheathill/lab/run.py
+++ b/wheathill/lab/scripts/run.py
@@ -4,8 +4,8 @@
 
 import orjson
 
-from wheathill.lab.scene import Scene, counts
-from wheathill.lab.world import VirtualWorld
+from wheathill.lab.scripts.scene import Scene, counts
+from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.proxy import Proxy
 
 
@@ -36,7 +36,7 @@
     network = {"same": net.same_ms, "cross": net.cross_ms, "client": net.client_ms, "jitter": net.jitter}
     if world == "sockets":
         # There each delivery costs what it costs.
-        from wheathill.lab.sockets import SocketWorld
+        from wheathill.lab.worlds.sockets import SocketWorld
         place = SocketWorld(seed, network)
     else:
         place = VirtualWorld(seed, {**network, "hop": net.hop_ms}, proxy=proxy)
--- a/wheathill/lab/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -6,17 +6,17 @@
 from collections import Counter
 
 from wheathill.config import Limits, Misconfigured, operator
-from wheathill.lab.baselines import decisions
-from wheathill.lab.callers import Callers
-from wheathill.lab.clients import Crowd
-from wheathill.lab.discovery import Agent, Registry
-from wheathill.lab.front import Front
-from wheathill.lab.gateway import Gateway
-from wheathill.lab.judges import judge
-from wheathill.lab.record import Record
-from wheathill.lab.script import ASKED, BETWEEN, HOLDS, gateway_names, proxy_names
-from wheathill.lab.store import Store
-from wheathill.lab.tap import Cut
+from wheathill.lab.cast.callers import Callers
+from wheathill.lab.cast.clients import Crowd
+from wheathill.lab.cast.discovery import Agent, Registry
+from wheathill.lab.cast.front import Front
+from wheathill.lab.cast.gateway import Gateway
+from wheathill.lab.cast.store import Store
+from wheathill.lab.judging.baselines import decisions
+from wheathill.lab.judging.judges import judge
+from wheathill.lab.scripts.language import ASKED, BETWEEN, HOLDS, gateway_names, proxy_names
+from wheathill.lab.scripts.record import Record
+from wheathill.lab.worlds.tap import Cut
 
 FIELDS = ["inflight", "waiting", "cpu", "x0"]
 SAMPLE_MS = 500.0
--- /dev/null
+++ b/wheathill/lab/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The experiment tool and its report."""
--- a/wheathill/lab/tool.py
+++ b/wheathill/lab/tools/experiments.py
@@ -10,9 +10,9 @@
 import orjson
 
 from wheathill.config import Misconfigured
-from wheathill.lab import script as scripts
-from wheathill.lab.baselines import POLICIES
-from wheathill.lab.run import play
+from wheathill.lab.judging.baselines import POLICIES
+from wheathill.lab.scripts import language as scripts
+from wheathill.lab.scripts.run import play
 
 SHOWN = ("handshake p50", "handshake p99", "message p50", "message p99", "served", "refused", "failed", "cut",
          "moved", "dials", "breaches")
@@ -76,7 +76,7 @@
         with open(log_path, "wb") as out:
             out.writelines(result.scene.record.lines())
     if report:
-        from wheathill.lab.report import write
+        from wheathill.lab.tools.report import write
         print(f"report: {write(result, report)}")
     return 1 if result.breaches else 0
 
--- a/wheathill/lab/beside.py
+++ b/wheathill/lab/worlds/beside.py
@@ -1,8 +1,12 @@
 """Two processes of one proxy in the virtual world: the clients' socket that the platform holds, the Unix
 socket between them, and connections that go over from one to the other."""
 
-from wheathill.config import Limits
-from wheathill.lab.world import Door, VirtualCarrier, VirtualHost
+from dataclasses import replace
+
+from wheathill.config import Limits, node_of
+from wheathill.handover.upgrade import Upgrade
+from wheathill.lab.worlds.network import Door, VirtualCarrier, VirtualHost
+from wheathill.lab.worlds.seat import Seat
 from wheathill.net.driver import Guarded
 
 
@@ -148,3 +152,45 @@
 
 
 PLATFORM = Limits(sockets=1_000_000, connect=1000.0, longest_dial=1000.0, idle=1000.0)
+
+
+class HeldSeat(Seat):
+    """Of a proxy whose clients' socket the platform holds: a second process may be started """
+
+    def __init__(self, world, name, zone, values, log):
+        super().__init__(world, name, zone, values, log)
+        self.door = HeldDoor(world.net, name, zone, self.where, PLATFORM)
+        self.places = {}
+        self.old = None             # (host, proxy) that was taken over from
+
+    def start(self):
+        self.starts += 1
+        node = replace(node_of(self.values), listen_fd=3, state="")
+        self.host.begin()
+        carrier = ProcessCarrier(self.host, node.limits, self.log, self.door, self.places)
+        self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
+        self.proxy.door = carrier.open_door(self.proxy.client, self.proxy.room)
+        self.open_to_operators(carrier)
+        Upgrade(self.proxy, carrier, self.host.clock, self.log).begin()
+
+    def upgrade(self, longest):
+        """A second process beside; at its yes the first is told to stop, and killed when it had its time."""
+        self.old = self.host, self.proxy
+        self.host = VirtualHost(self.world.net, self.name, self.zone)
+        self.start()
+        self.wait_for_yes(*self.old, longest)
+
+    def wait_for_yes(self, host, proxy, longest):
+        clock = self.world.clock
+        if not self.running:
+            return
+        if not self.proxy.ready:
+            return clock.after(20.0, self.wait_for_yes, host, proxy, longest)
+        if host.alive:
+            host.clock.soon(proxy.stop, host.kill)
+            clock.after(longest + 700.0, host.kill)
+
+    def kill(self):
+        if self.old:
+            self.old[0].kill()
+        super().kill()
--- /dev/null
+++ b/wheathill/lab/worlds/seat.py
@@ -0,0 +1,58 @@
+"""The place of one proxy in the virtual world."""
+
+from wheathill.config import node_of
+from wheathill.lab.worlds.network import VirtualCarrier, VirtualHost
+from wheathill.net.operators import OperatorsDoor
+
+
+class Seat:
+    """The place of one proxy: its host, and whatever proxy runs on it at the time."""
+
+    def __init__(self, world, name, zone, values, log):
+        self.world, self.name, self.zone, self.values, self.log = world, name, zone, values, log
+        self.host = VirtualHost(world.net, name, zone)
+        world.net.hosts_by_address[self.host.where] = self.host
+        self.where = self.host.where
+        self.proxy = None
+        self.starts = 0
+        self.calls = False          # operators may call
+
+    @property
+    def admin(self):
+        """Where operators call the process that runs now."""
+        return self.where[0], 9600 + self.starts
+
+    def open_to_operators(self, carrier):
+        if self.calls:
+            door = OperatorsDoor(self.proxy)
+            carrier.listen(door.call, self.admin, door.room)
+
+    @property
+    def running(self):
+        return self.proxy is not None
+
+    def start(self):
+        self.starts += 1
+        node = node_of(self.values)
+        self.host.begin()
+        carrier = VirtualCarrier(self.host, node.limits, self.log)
+        self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
+        carrier.listen(self.proxy.client, self.where, self.proxy.room)
+        self.open_to_operators(carrier)
+        self.proxy.start()
+
+    def kill(self):
+        self.host.kill()
+        self.proxy = None
+
+    def stop(self, stopped):
+        self.proxy.stop(stopped)
+
+    def reload(self):
+        self.proxy.reload(node_of(self.values))
+
+    def pause(self):
+        self.host.pause()
+
+    def resume(self):
+        self.host.resume()
--- a/wheathill/lab/sockets.py
+++ b/wheathill/lab/worlds/sockets.py
@@ -18,8 +18,8 @@
 import tempfile
 import time
 
-from wheathill.lab.tap import Tap
-from wheathill.lab.world import Host, raise_fault
+from wheathill.lab.worlds.host import Host, raise_fault
+from wheathill.lab.worlds.tap import Tap
 from wheathill.net.clock import Clock
 from wheathill.net.driver import Carrier
 
