The proxy parts into the sessions it carries, what it is told, and its life

Change: `carried` (clients, dials, probes, sessions of another process), `told` (configuration, lists, who is out by hand), `proxy` (start, stop, figures, what it tells of itself). Methods moved as they were.

--- /dev/null
+++ b/wheathill/net/carried.py
@@ -0,0 +1,358 @@
+"""The sessions that a proxy carries: clients and their dials on one side, the decisions on the other, and what
+these call for. Probes are carried likewise."""
+
+from itertools import islice
+
+from wheathill.model import Outcome, Session
+from wheathill.net.client import Client
+from wheathill.net.lines import Head, Malformed, report
+from wheathill.net.server import Dialled, ProbeLink
+
+
+def busy(come_back_after):
+    return b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY"
+
+
+class Carried:
+    """A part of `proxy.Proxy`, which holds what both parts share."""
+
+    # Clients
+
+    def client(self, wire):
+        return Client(wire, self, self.limits, self.clock)
+
+    def came(self, client):
+        self.silent[client] = self.now()
+
+    def room(self):
+        """Whether one more client may be taken in. Who connects without asking for anything holds a sixth of
+        the descriptors at most, as sessions take two each and need the rest: the oldest make room. A line
+        that has come and was not read yet is asked for."""
+        if self.fits():
+            return True
+        late = self.now() - self.limits.ask_within
+        for client in [client for client, since in islice(self.silent.items(), self.limits.accepts)
+                       if since < late and not client.wire.unread]:
+            del self.silent[client]
+            client.timer.cancel()
+            client.wire.abort()
+        return self.fits()
+
+    def fits(self):
+        return len(self.silent) < self.limits.sockets // 6 and \
+            self.carrier.free >= -self.limits.spare_sockets / 2
+
+    def opened(self, client):
+        self.silent.pop(client, None)
+        head, now = client.head, self.now()
+        listener = self.listeners.get(head.values.get("c"))
+        if listener is None:
+            raise Malformed("c names no listener")
+        client.listener = listener
+        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout)
+        tenant = head.values.get("t")
+        if tenant is not None and self.tenants and tenant not in self.tenants:
+            raise Malformed("t names no tenant")
+        sess = Session(listener=listener, key=head.key, deadline=now + left - self.limits.answer_margin,
+                       tenant=self.tenants.get(tenant, 0),
+                       group=head.values.get("g") if self.node.groups else None,
+                       load=head.number("h"), mid_flow=head.flag("mid"),
+                       returning=head.flag("again"), repeat=head.flag("r"))
+        self.note_id(head, sess)
+        if self.carrier.free <= 0:
+            self.figures.count("no sockets")
+            self.answer(client, busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
+        elif "at" in head.values:
+            client.sess = sess
+            sess.deadline = now + self.limits.standing
+            self.stand(client, sess)
+        else:
+            self.clients[sess] = client
+            client.sess = sess
+            self.figures.count("came")
+            client.set_timer(left, self.late, client)
+            self.balancer.on_session(now, sess)
+
+    def note_id(self, head, sess):
+        """Ids are new with every connection: one that was seen belongs to another client, and servers answer
+        its second session with ERR. Packets that come through this proxy again are the exception."""
+        if head.id in self.ids and not sess.mid_flow and "at" not in head.values:
+            raise Malformed("the id of another session")
+        self.ids[head.id] = sess
+        while len(self.ids) > self.limits.ids:
+            oldest = next(iter(self.ids))
+            held = self.ids.pop(oldest)
+            if held in self.clients:
+                self.ids[oldest] = held
+
+    def late(self, client):
+        """The decisions have missed a deadline, which only a fault can do: the client must not suffer."""
+        self.log_event("fault", where="decisions", what="no answer in time")
+        self.hung_up(client)
+        self.answer(client, b"ERR")
+
+    def answer(self, client, line):
+        """A session's final answer where it isn't UP: the one place where it is given, and counted for the
+        listener that it named."""
+        if client.listener is not None:
+            self.figures.ended(client.listener, "rejected" if line.startswith(b"BUSY") else "failed")
+        client.answer(line)
+
+    def bad_client(self, client, why):
+        self.silent.pop(client, None)
+        self.figures.count("bad")
+        # They come by hundreds, at full speed: most are only counted.
+        now = self.now()
+        if now - self.bad_since >= self.limits.bad_every:
+            self.bad_since, self.bad_logged = now, 0
+        self.bad_logged += 1
+        if self.bad_logged <= self.limits.bad_lines:
+            self.log_event("bad input", what=why, so_far=self.figures.counts["bad"])
+        client.lines.rest = b""
+        self.answer(client, b"ERR")
+
+    def hung_up(self, client):
+        self.silent.pop(client, None)
+        sess = client.sess
+        if client.dial and not client.up and not client.dial.over:
+            client.dial.over = True
+            client.dial.timer.cancel()
+            client.dial.wire.abort()
+        if sess in self.clients:
+            self.over(sess, "hung up")
+            self.balancer.on_hang_up(self.now(), sess)
+        client.sess = None
+
+    def over(self, sess, how):
+        client = self.clients.pop(sess)
+        client.sess = None
+        self.ids[client.head.id] = None
+        self.figures.count(how)
+        now = self.now()
+        lasted = None if sess.accepted is None else round(now - sess.accepted)
+        self.log_event("session", how=how, listener=sess.listener.name, lasted=lasted,
+                       waited=round(now - client.came - (lasted or 0), 1), dials=len(sess.dials),
+                       server=sess.server and sess.server.name,
+                       came="mid-flow" if sess.mid_flow else "back" if sess.returning
+                       else "repeat" if sess.repeat else "first")
+        return client
+
+    def heard(self, server):
+        self.balancer.on_heard(self.now(), server)
+
+    def message_took(self, client, spent):
+        if client.sess is not None and spent > client.sess.listener.message_target:
+            self.figures.count("late messages")
+            self.balancer.on_notice(self.now(), client.sess, message_ms=spent)
+
+    def load_told(self, client, text):
+        try:
+            load = float(text)
+        except ValueError:
+            return self.log_event("bad input", what="LOAD without a number")
+        if client.sess is not None:
+            self.balancer.on_notice(self.now(), client.sess, load=load)
+
+    def sweep(self):
+        self.clock.after(self.limits.sweep, self.sweep)
+        now = self.now()
+        self.worst_delay = max(self.worst_delay, now - self.swept)
+        self.swept = now + self.limits.sweep
+        for client in list(self.clients.values()):
+            # Who reads nothing itself can't be brought an answer. One may end others of the same server.
+            if client.sess is not None and client.asked is not None and not client.wire.full \
+                    and now - client.asked >= self.limits.unanswered:
+                self.balancer.on_unanswered(now, client.sess, now - client.asked)
+                if client.moving and now - client.asked >= self.limits.half_line:
+                    # Its server will hardly end the line any more, and MOVE may not stand within one.
+                    client.dial.close()
+
+    # Connections from before the start
+
+    def stand(self, client, sess):
+        """Up again at the server that holds it, however often that takes within the time given. The list
+        that names it may still be on its way."""
+        name, now = client.head.values["at"], self.now()
+        if client.sess is not sess or not client.wire.open:
+            pass
+        elif now >= sess.deadline:
+            self.log_event("lost standing", server=name)
+            self.answer(client, b"ERR")
+        elif name in self.servers:
+            sess.server = self.servers[name]
+            self.connect(client, sess.server, sess.deadline - now)
+        else:
+            self.clock.after(self.limits.sweep, self.stand, client, sess)
+
+    # Sessions of another process of this proxy, and for it
+
+    def hand_over(self, sess, client):
+        """Descriptors of both its connections, which this process lets go of; none where it has none left."""
+        try:
+            handles = [client.wire.copy()]
+            try:
+                handles.append(client.dial.wire.copy())
+            except OSError:
+                self.carrier.drop(handles)
+                raise
+        except OSError:
+            return []
+        client.dial.over = True
+        client.timer.cancel()
+        client.dial.timer.cancel()
+        client.wire.abort()
+        client.dial.wire.abort()
+        self.over(sess, "handed over")
+        self.balancer.on_hang_up(self.now(), sess)
+        return handles
+
+    def carry(self, line, sess, handles, came, asked, server, rest):
+        """Goes on where the other process stopped. Raises ValueError with nothing taken."""
+        if server not in self.servers:
+            raise ValueError(f"a session at {server!r}, which is not known")
+        try:
+            head = Head(line)
+        except Malformed as wrong:
+            raise ValueError(str(wrong)) from None
+        client = Client(None, self, self.limits, self.clock)
+        client.dial = dial = Dialled(client, self.servers[server], self, self.limits, self.clock)
+        client.head, client.listener, client.sess = head, sess.listener, sess
+        client.came, client.asked = came, asked
+        client.up = dial.up = dial.sent = True
+        dial.rest = rest
+        self.clients[sess] = client
+        self.ids[head.id] = sess
+        self.figures.know([sess.listener.name])
+        self.balancer.on_carried(self.now(), sess, dial.server)
+        for machine, handle in zip((client, dial), handles):
+            self.carrier.adopt(handle, machine)
+
+    # Dials
+
+    def connect(self, client, server, time_out):
+        client.dial = dial = Dialled(client, server, self, self.limits, self.clock)
+        dial.start(self.carrier.connect(dial, self.addresses[server]), time_out, self.limits.connect)
+
+    def may_send(self, dial):
+        """The list may have changed while the connection was coming up."""
+        sess = dial.client.sess
+        return sess not in self.clients or self.balancer.roster.may_dial(
+            self.now(), dial.server, sess.mid_flow)
+
+    def dial_sent(self, dial):
+        self.figures.count("dials sent")
+
+    def dial_up(self, dial, line):
+        client, sess, now = dial.client, dial.client.sess, self.now()
+        self.figures.ended(client.listener, "completed")
+        client.serve(dial, line)
+        self.heard(dial.server)
+        if sess in self.clients:
+            self.balancer.on_accepted(now, sess)
+        else:
+            self.clients[sess] = client
+            self.balancer.on_open_session(now, sess, dial.server)
+
+    def dial_over(self, dial, outcome):
+        client, now = dial.client, self.now()
+        sess = client.sess
+        if not dial.up:
+            self.figures.count("dial: " + outcome.value)
+            self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
+                           after=round(now - dial.started, 1))
+        if sess is None:
+            pass
+        elif sess not in self.clients:
+            # A standing connection that did not come up.
+            self.clock.after(self.limits.sweep, self.stand, client, sess)
+        elif dial.up:
+            self.over(sess, outcome.value)
+            self.balancer.on_outcome(now, sess, outcome, True)
+        elif outcome is Outcome.COMPLETED:
+            # Served to its end before it was ever up: the client is told what its server said.
+            self.answer(self.over(sess, outcome.value), b"BYE")
+            self.balancer.on_outcome(now, sess, outcome, True)
+        else:
+            self.balancer.on_outcome(now, sess, outcome, False)
+
+    def odd_answer(self, dial, line):
+        self.log_event("bad input", server=dial.server.name, what=repr(line[:80]))
+
+    def reported(self, server, text):
+        figures = report(text, self.node.report_fields)
+        if figures:
+            self.balancer.on_report(self.now(), server, figures)
+
+    # What the decisions call for
+
+    def dial(self, sess, server, time_out):
+        client = self.clients[sess]
+        if len(sess.dials) > 1:
+            self.figures.count("further dials")
+        if self.carrier.free <= -self.limits.spare_sockets / 2:
+            self.clock.soon(self.no_socket, sess)
+        else:
+            self.connect(client, server, time_out)
+
+    def no_socket(self, sess):
+        if sess in self.clients:
+            self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
+
+    def refuse(self, sess, come_back_after):
+        self.answer(self.over(sess, "refused"), busy(come_back_after))
+
+    def tear_down(self, sess):
+        self.answer(self.over(sess, "torn down"), b"ERR")
+
+    def move(self, sess):
+        client = self.clients.get(sess)
+        if client is not None and client.up and not client.moving:
+            self.move_client(client)
+
+    def move_client(self, client):
+        if client.move():
+            client.dial.over = True
+            sess = client.sess
+            self.over(sess, "moved")
+            # Later: whoever asked for the move may be going through the sessions.
+            self.clock.soon(self.moved, sess)
+
+    def moved(self, sess):
+        self.balancer.on_outcome(self.now(), sess, Outcome.CANCELLED, True)
+
+    def alarm(self, name, at):
+        self.clock.at(at, self.ring, name)
+
+    def ring(self, name):
+        self.balancer.on_alarm(self.now(), name)
+
+    def log(self, text):
+        self.log_event("decision", what=text)
+
+    # Probes
+
+    def probe(self, server):
+        self.figures.count("probes")
+        link = self.links.pop(server, None)
+        if link is None:
+            if len(self.links) >= self.limits.probe_links:
+                self.close_link()
+            link = ProbeLink(server, self, self.limits, self.clock)
+            link.wire = self.carrier.connect(link, self.addresses[server])
+        self.links[server] = link
+        link.ask()
+
+    def close_link(self):
+        for link in list(self.links.values()):
+            if not link.asked:
+                return link.end(None)
+
+    def link_over(self, link):
+        if self.links.get(link.server) is link:
+            del self.links[link.server]
+
+    def probed(self, link, outcome, text):
+        figures = report(text, self.node.report_fields)
+        if outcome is Outcome.COMPLETED:
+            self.heard(link.server)
+        self.balancer.on_probed(self.now(), link.server, outcome, figures)
