Membership: a doubt stays private until a connection fails too, and a refused one proves a death

Seen: 300 instances at 25% loss buried 1,213 of their own in 10 instance hours. At fault: `end_probe` told a suspicion after one round, `end_suspicions` buried on silence alone. Change: an unanswered probe is a private doubt; the instance knocks by a connection and goes on asking. "Refused" proves the process dead, "up" clears it (it stands still, or datagrams are lost), "nothing" is told; a few that hear of it look for themselves; before a burial it is knocked at again and others are asked. Where several answer late first, all waits are longer. One that notices by its clock that it stood still accuses nobody until it is answered. A claimant of a held name stays alone but asks again; who was taken off by an operator is never back by rumour; those whose death nobody saw are not forgotten, so halves meet again however long they were apart.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -82,7 +82,7 @@
     cluster = Cluster(5, claims={"i004": "i002"})
     cluster.run(12)
     claimant = cluster.instances["i004"].membership
-    yield f"claimant stopped {claimant.stopped}"
+    yield f"claimant alone {claimant.alone}"
     yield f"the name is at {cluster.instances['i001'].membership.members['i002'].address}"
     yield from cluster.lines[-1:]
     # Who held it dies, and the claimant tries again.
@@ -152,3 +152,31 @@
     member = Member("a", "a:1", 0, 1, ALIVE, 0.0)
     rumours.add(member, "a")
     assert sum(bool(rumours.take(8, 9)) for _ in range(10)) == 2
+
+
+def test_a_quarter_lost_buries_nobody_and_a_vanished_machine_is_found():
+    found = measure(30, 0.25, [1], machines=True)
+    assert found["false_deaths"] == 0 and found["all_ms"] < 30_000
+
+
+def test_one_that_stands_still_is_no_death():
+    cluster = Cluster(7)
+    cluster.run(10)
+    cluster.pause("i003")
+    cluster.run(30)
+    assert not cluster.false and cluster.instances["i001"].membership.members["i003"].state != "dead"
+    cluster.resume("i003")
+    cluster.run(10)
+    assert cluster.agreed() and any("stood still" in line for line in cluster.lines)
+
+
+def test_who_was_taken_off_is_never_back_by_rumour():
+    cluster = Cluster(5)
+    cluster.run(10)
+    cluster.vanish("i002")
+    stale = cluster.instances["i004"].membership.members["i002"].words()
+    assert cluster.instances["i001"].membership.remove(cluster.clock.now(), "i002")
+    cluster.run(100)        # longer than it is remembered
+    for instance in cluster.running():
+        instance.membership.hear(cluster.clock.now(), [[*stale, "i004"]])
+        assert "i002" not in instance.membership.members
--- a/wheathill/lab/cores/members.py
+++ b/wheathill/lab/cores/members.py
@@ -25,7 +25,7 @@
         rng = random.Random(f"{cluster.seed}/{host.name}/{start}")
         self.membership = Membership(self, rng, cluster.claims.get(host.name, host.name), host.name,
                                      rng.getrandbits(48), **cluster.settings)
-        self.sent = 0
+        self.sent = self.knocks = 0
 
     def received(self, data, came_from):
         self.membership.on_message(self.clock.now(), came_from, self.cluster.decode(data))
@@ -34,6 +34,11 @@
         self.sent += 1
         self.end.send(address, self.cluster.encode(words))
 
+    def knock(self, name, birth, address, wait, why):
+        self.knocks += 1
+        self.cluster.peers.knock(self.host, address, wait, lambda how: self.membership.on_knock(
+            self.clock.now(), name, birth, how, why))
+
     def alarm(self, at, what):
         self.clock.at(at, self.ring, what)
 
@@ -64,7 +69,8 @@
         self.lines = []
         self.instances = {}
         self.starts = {}
-        self.dead = {}              # host -> since when it is really gone or paused
+        self.dead = {}              # host -> since when it is really gone
+        self.paused = {}            # who stands still, and is no death
         self.found = {}             # host -> {instance: when it had it as dead}
         self.false = []             # (when, who, about whom): taken for dead without being so
         self.suspected = 0          # the same, suspected only
@@ -88,18 +94,26 @@
         self.dead[name] = self.clock.now()
         self.found[name] = {}
 
+    def vanish(self, name):
+        """Its machine is gone: nothing says that the process is."""
+        self.hosts[name].silent = True
+        self.dead[name] = self.clock.now()
+        self.found[name] = {}
+
     def pause(self, name):
         self.hosts[name].pause()
-        self.dead[name] = self.clock.now()
+        self.paused[name] = None
 
     def resume(self, name):
         self.hosts[name].resume()
-        del self.dead[name]
+        del self.paused[name]
 
     def run(self, seconds):
         self.clock.run(self.clock.now() + seconds * 1000)
 
     def changed(self, instance, member, old):
+        if instance.host.name in self.dead or instance.host.name in self.paused:
+            return
         if member.state == DEAD:
             if member.address in self.dead:
                 self.found.setdefault(member.address, {}).setdefault(instance.host.name, self.clock.now())
@@ -109,7 +123,7 @@
             self.suspected += 1
 
     def running(self):
-        return [instance for name, instance in self.instances.items() if name not in self.dead]
+        return [instance for name, instance in self.instances.items() if name not in self.dead and name not in self.paused]
 
     def views(self):
         """What each running instance has, as {name: state}."""
@@ -128,9 +142,10 @@
                 for member in instance.membership.members.values()]
 
 
-def measure(count, loss, seeds, kills=1, quiet=20.0, watched=40.0):
+def measure(count, loss, seeds, kills=1, quiet=20.0, watched=40.0, machines=False):
     """For one size and loss: ms until the first and until all others have a death, false deaths and
-    suspicions an instance and hour, messages a second and instance."""
+    suspicions an instance and hour, messages a second and instance. `machines`: they
+    vanish with their machines, so that nothing refuses a connection."""
     first, everyone, false, suspected, messages, time = [], [], 0, 0, [], 0.0
     for seed in seeds:
         cluster = Cluster(count, seed, faults={"loss": loss})
@@ -138,7 +153,7 @@
         before = sum(instance.sent for instance in cluster.instances.values())
         gone = [f"i{number:03d}" for number in range(1, 1 + min(kills, count - 2))]
         for name in gone:
-            cluster.kill(name)
+            (cluster.vanish if machines else cluster.kill)(name)
         cluster.run(watched)
         alive = cluster.running()
         for name in gone:
--- a/wheathill/lab/cores/ways.py
+++ b/wheathill/lab/cores/ways.py
@@ -59,6 +59,24 @@
         return end
 
 
+    def knock(self, host, to, wait, told):
+        """A connection's start: asked again as TCP does within its first 15 s (RFC 6298)."""
+        self.ask(host, to, told, [now for now in (0.0, 1000.0, 3000.0, 7000.0) if now < wait], wait)
+
+    def ask(self, host, to, told, tries, wait):
+        other = self.endpoints[to].host
+        if not other.silent and not host.silent:
+            for there in self.faults.ways(host.name, to)[:1]:
+                for back in self.faults.ways(to, host.name)[:1]:
+                    how = "up" if other.alive else "refused"
+                    return self.clock.after(there + back, host.gate, host.life, told, how)
+        first, *more = tries
+        if more:
+            self.clock.after(more[0] - first, self.ask, host, to, told, more, wait)
+        else:
+            self.clock.after(wait - first, host.gate, host.life, told, "nothing")
+
+
 class VirtualEndpoint:
     def __init__(self, peers, host, received):
         self.peers, self.host, self.received = peers, host, received
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -4,12 +4,19 @@
 Motivala, 2002) and "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (Dadgar, Phillips,
 Currey, 2018).
 
+Beside the papers: a probe without an answer is a private doubt first. It is told to others only when the member
+can't be reached by a connection either and has said nothing meanwhile, so that neither lost datagrams nor a process
+that stands still look like a death; one whose machine refuses the connection is known to be dead.
+
 Fed with (now in ms, who sent it, the words of a message), it calls `actions`: `send(address, words)`,
-`alarm(at, what)`, `changed(member, old state)` and `log(text)`. Words are lists of numbers and text, ready
-for msgpack. What an instance says of members rides on its probes; nothing is broadcast.
+`knock(name, birth, address, ms, why)`, `alarm(at, what)`, `changed(member, old state)` and `log(text)`. The answer to a
+knock comes by `on_knock`. Words are lists of numbers and text, ready for msgpack. What an instance says of members
+rides on its probes; nothing is broadcast.
 """
 
+import hashlib
 import math
+from collections import deque
 
 ALIVE, SUSPECT, DEAD, LEFT = "alive", "suspect", "dead", "left"
 RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
@@ -20,13 +27,18 @@
     """`birth` tells one process from another under the same name; `incarnation` orders what is said of
     one."""
 
-    __slots__ = ("name", "address", "incarnation", "birth", "state", "since", "accusers", "deadline")
+    __slots__ = ("name", "address", "incarnation", "birth", "state", "since", "accusers", "deadline", "heard",
+                 "doubted", "buried", "certain")
 
     def __init__(self, name, address, incarnation, birth, state, since):
         self.name, self.address, self.incarnation, self.birth = name, address, incarnation, birth
         self.state, self.since = state, since
         self.accusers = ()          # names of those who suspect it, each by itself
         self.deadline = None        # while suspect: when it counts as dead
+        self.heard = since          # when it last said something itself
+        self.doubted = None         # since when it doesn't answer this instance, which knocks
+        self.buried = None          # since when it is knocked at for the last time
+        self.certain = False        # its death was seen: its machine refuses connections
 
     def words(self):
         return [self.state, self.name, self.address, self.incarnation, self.birth]
@@ -44,7 +56,8 @@
 
     def take(self, most, members, first=None):
         """Up to `most` updates as words; `first` goes in whatever was told of it."""
-        chosen = sorted(self.told, key=lambda member: self.told[member][0])[:most]
+        # Among the least told those that are gone: at a start of hundreds the newcomers would keep them waiting.
+        chosen = sorted(self.told, key=lambda member: (self.told[member][0], -RANK[member.state]))[:most]
         if first is not None and first not in chosen:
             chosen = [first, *chosen[:most - 1]]
         limit = math.ceil(self.times * math.log10(members + 1))
@@ -61,17 +74,23 @@
 
 class Membership:
     """One instance's view. `period`: ms between probes; `patience`: ms for an answer; both stretch with the
-    local health. `helpers`: whom it asks to probe for it. `kept`: ms that the dead are remembered."""
+    local health. `helpers`: whom it asks to probe for it. `kept`: ms that those
+    who are surely gone are remembered."""
 
     MOST_UPDATES = 8
     MOST_HEALTH = 8             # Lifeguard's S: 9 times the usual patience at the most
-    STATE_CHUNK = 24            # entries a message, so that it stays a small datagram
-    SUSPICION, SLOWEST, CONFIRMATIONS = 5.0, 6.0, 3
+    STATE_CHUNK = 24            # entries a message
+    SUSPICION, SLOWEST, CONFIRMATIONS = 3.0, 6.0, 3
+    # Periods for a connection to come up, without losses and with many: two tries of TCP's at the usual period, or
+    # three, and three or four before a burial.
+    DOUBT, BURIAL = (1.3, 3.5), (3.5, 8.0)
+    CHECKS = 4                  # of those that hear of a suspicion, so many look for themselves
+    MOST_REMOVED = MOST_DOUBTFUL = 1024
 
     def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every):
         self.actions = actions
         self.shuffle, self.sample = rng.shuffle, rng.sample
-        self.uniform, self.choice = rng.uniform, rng.choice
+        self.uniform, self.choice, self.random = rng.uniform, rng.choice, rng.random
         self.period, self.patience, self.helpers, self.kept = period, patience, helpers, kept
         self.sync_every = sync_every
         self.me = Member(name, address, 0, birth, ALIVE, 0.0)
@@ -80,11 +99,18 @@
         self.health = 0             # 0: well; each missed answer makes this instance more careful
         self.round = []             # whom to probe next
         self.number = 0
-        self.probe = None           # (number, member, acknowledged, nacks awaited)
+        self.probe = None           # [number, member, acknowledged, nacks awaited, late]
+        self.asks = {}              # number of a last question for one -> that member
         self.asked = {}             # number of a probe made for another -> (address to answer, its number)
         self.seeds = []
         self.joined = False
+        self.alone = False          # another holds its name
         self.stopped = False
+        self.due = None             # when the next probe's alarm rings
+        self.late = deque(maxlen=16)    # of the last probes: who answered late or not, else None
+        self.unanswered = 0         # probes in a row that nobody answered
+        self.woke = None            # since when it has been stopped itself and not been answered yet
+        self.removed = {}           # (name, birth) that an operator took off, for good
 
     # Start and end
 
@@ -94,7 +120,7 @@
         self.rumours.add(self.me, self.me.name)
         self.join(now)
         # Not in step with those that start together.
-        self.actions.alarm(now + self.uniform(0.0, self.period), "probe")
+        self.set_probe(now + self.uniform(0.0, self.period))
         self.actions.alarm(now + self.uniform(0.5, 1.5) * self.sync_every, "sync")
 
     def join(self, now):
@@ -112,6 +138,26 @@
             self.actions.send(member.address, [PING, 0, self.me.name, [[*self.me.words(), self.me.name]]])
         self.stopped = True
 
+    def remove(self, now, name):
+        """By an operator: whoever is there no longer counts as one that has left, and no rumour brings that
+        process back. Returns whether the name is known."""
+        member = self.members.get(name)
+        if member is None or member is self.me:
+            return False
+        member.incarnation += 1
+        self.set_gone(now, member, LEFT, self.me.name)
+        return True
+
+    def forbid(self, member):
+        self.removed[member.name, member.birth] = None
+        while len(self.removed) > self.MOST_REMOVED:
+            del self.removed[next(iter(self.removed))]
+
+    def digest(self):
+        """Of the processes that count as there: equal where views agree."""
+        there = ";".join(f"{member.name} {member.birth}" for member in self.alive())
+        return hashlib.blake2b(there.encode(), digest_size=6).hexdigest()
+
     def alive(self):
         """Members that count as there, suspects among them, in order of name."""
         return [self.members[name] for name in sorted(self.members)
@@ -123,9 +169,11 @@
         if self.stopped:
             return
         if what == "probe":
+            if now - self.due > self.patience:
+                self.wake(now, now - self.due)
             self.end_probe(now)
             # One that is starved answers late itself: it probes more seldom, and waits longer.
-            self.actions.alarm(now + self.period * (1 + self.health), "probe")
+            self.set_probe(now + self.period * (1 + self.health))
             self.begin_probe(now)
         elif what == "late":
             self.ask_others(now)
@@ -133,24 +181,46 @@
             self.say_here(what[1])
         elif what == "suspects":
             self.end_suspicions(now)
+        elif what[0] == "prove":
+            self.prove(now, *what[1:])
         elif what == "join" and not self.joined:
             self.join(now)
         elif what == "sync":
             self.actions.alarm(now + self.sync_every * self.uniform(0.75, 1.25), "sync")
             self.sync(now)
 
+    def set_probe(self, when):
+        self.due = when
+        self.actions.alarm(when, "probe")
+
+    def wake(self, now, gap):
+        """It was stopped or starved itself: what it has not heard meanwhile says nothing of others. Until it is
+        answered again it accuses and buries nobody."""
+        self.actions.log(f"peers: this process stood still for {gap:.0f} ms")
+        self.woke, self.probe = now, None
+        self.health = min(self.MOST_HEALTH, self.health + 1)
+        for name in sorted(self.members):
+            member = self.members[name]
+            member.doubted = member.buried = None
+            if member.state == SUSPECT:
+                member.since = now
+                self.set_deadline(now, member)
+
     def begin_probe(self, now):
         for name in sorted(self.members):
             suspect = self.members[name]
-            if suspect.state == SUSPECT and self.me.name in suspect.accusers:
-                # Whom this instance accuses it also tells, again and again: one lost message is no death.
-                self.send_probe(suspect, 0)
+            if suspect.doubted is not None and suspect.state in (ALIVE, SUSPECT) or \
+                    suspect.state == SUSPECT and self.me.name in suspect.accusers:
+                # Whom this instance doubts or accuses it also tells, again and again: one lost message is no
+                # death. The number asks for an answer, whichever probe is under way.
+                self.number += 1
+                self.send_probe(suspect, self.number)
         member = self.next_target()
         if member is None:
             self.probe = None
             return
         self.number += 1
-        self.probe = [self.number, member, False, 0]
+        self.probe = [self.number, member, False, 0, False]
         self.send_probe(member, self.number)
         self.actions.alarm(now + self.patience * (1 + self.health), "late")
 
@@ -179,28 +249,102 @@
         if self.probe is None or self.probe[2]:
             return
         number, target = self.probe[:2]
+        self.probe[4] = True
         self.send_probe(target, number)     # the first may have been lost
-        others = [member for member in self.alive() if member not in (self.me, target)]
-        chosen = self.sample(others, min(len(others), self.helpers))
-        self.probe[3] = len(chosen)
-        for member in chosen:
-            self.actions.send(member.address, [ASK, number, self.me.name, target.name, target.address,
-                                               self.gossip()])
+        self.probe[3] = self.ask_for(target, number, self.helpers)
 
     def end_probe(self, now):
         if self.probe is None:
             return
-        _, target, answered, missing = self.probe
+        _, target, answered, missing, late = self.probe
         self.probe = None
+        self.late.append(target.name if late or not answered else None)
         if answered:
             self.health = max(0, self.health - 1)
             return
+        self.unanswered += 1
         # Helpers that say nothing at all point at this instance, not at the target.
         self.health = min(self.MOST_HEALTH, self.health + 1 + missing)
-        if target.state == ALIVE:
-            self.accuse(now, target, target.incarnation, self.me.name)
-        elif target.state == SUSPECT:
-            self.confirm(now, target, self.me.name)
+        if target.state in (ALIVE, SUSPECT) and target.doubted is None and self.woke is None:
+            target.doubted = now
+            self.knock(target, "doubt", self.DOUBT)
+
+    @property
+    def lossy(self):
+        """Probes of several go unanswered at first: datagrams are lost, so that silence says less."""
+        late = [name for name in self.late if name is not None]
+        return len(dict.fromkeys(late)) >= 2 and 8 * len(late) > len(self.late)
+
+    def knock(self, member, why, periods):
+        wait = periods[self.lossy] * self.period
+        self.actions.knock(member.name, member.birth, member.address, wait, why)
+
+    def knock_last(self, now, member):
+        """Before a burial: by a connection, and through others."""
+        if member.buried is None:
+            member.buried = now
+            self.knock(member, "burial", self.BURIAL)
+            self.number += 1
+            self.asks[self.number] = member
+            while len(self.asks) > 1024:
+                del self.asks[next(iter(self.asks))]
+            self.ask_for(member, self.number, 2 * self.helpers)
+
+    def ask_for(self, target, number, count):
+        """Of so many others at random to probe it too; returns how many there are."""
+        others = [member for member in self.alive() if member not in (self.me, target)]
+        chosen = self.sample(others, min(len(others), count))
+        for member in chosen:
+            self.actions.send(member.address, [ASK, number, self.me.name, target.name, target.address,
+                                               self.gossip()])
+        return len(chosen)
+
+    def on_knock(self, now, name, birth, how, why):
+        """Whether a process listens where the member is: "up", "refused" or "nothing"."""
+        member = self.members.get(name)
+        if self.stopped or member is None or member.birth != birth or member.state == LEFT:
+            return
+        since = member.buried if why == "burial" else member.doubted
+        if why == "burial":
+            member.buried = None
+        elif why == "doubt":
+            member.doubted = None
+        if how == "refused":
+            if not member.certain:
+                member.certain = True
+                if member.state == DEAD:
+                    self.actions.changed(member, DEAD)
+                else:
+                    self.set_gone(now, member, DEAD, self.me.name)
+        elif member.state == DEAD:
+            self.actions.alarm(now + self.sync_every * self.uniform(0.5, 1.0), ("prove", name, birth))
+        elif how == "up":
+            # It stands still, or its datagrams are lost: a death is neither.
+            if member.state == SUSPECT:
+                member.since = now
+                self.set_deadline(now, member)
+        elif self.woke is not None or since is None or member.heard > since or why == "claim":
+            if member.state == SUSPECT:
+                self.set_deadline(now, member)
+        elif member.state == ALIVE:
+            self.accuse(now, member, member.incarnation, self.me.name)
+            self.knock_last(now, member)
+            others = [other for other in self.alive() if other not in (self.me, member)]
+            for other in self.sample(others, min(len(others), self.CHECKS)):
+                self.actions.send(other.address, [PING, 0, self.me.name, self.gossip(member)])
+        elif why != "burial":
+            self.confirm(now, member, self.me.name)
+            self.knock_last(now, member)
+        elif now >= member.deadline:
+            self.set_gone(now, member, DEAD, self.me.name)
+        else:
+            self.set_deadline(now, member)
+
+    def prove(self, now, name, birth):
+        """Others say that it is dead: whether its machine says so as well."""
+        member = self.members.get(name)
+        if member is not None and member.birth == birth and member.state == DEAD and not member.certain:
+            self.knock(member, "proof", self.DOUBT)
 
     # Messages
 
@@ -211,15 +355,19 @@
         kind, *rest = words
         if kind == PING:
             number, sender, updates = rest
+            self.hear_from(now, sender, address)
             self.hear(now, updates)
             if number:
                 self.actions.send(address, [ACK, number, self.me.name, self.gossip()])
         elif kind == ACK:
             number, sender, updates = rest
+            self.woke, self.unanswered = None, 0
+            self.hear_from(now, sender, address)
             self.hear(now, updates)
             self.acknowledged(now, number)
         elif kind == ASK:
             number, sender, name, target, updates = rest
+            self.hear_from(now, sender, address)
             self.hear(now, updates)
             self.number += 1
             self.asked[self.number] = address, number
@@ -235,13 +383,18 @@
         elif kind == JOIN:
             self.on_join(now, address, rest[0])
         elif kind == STATE:
-            self.joined = True
+            self.joined, self.alone = True, False
             self.hear(now, rest[0])
         elif kind == CLASH:
             self.on_clash(now, rest[0])
         else:
             raise ValueError(f"{kind!r} is no kind of message")
 
+    def hear_from(self, now, sender, address):
+        member = self.members.get(sender)
+        if member is not None and address == member.address:
+            member.heard, member.doubted = now, None
+
     def say_here(self, number):
         """The target has not answered this helper, which says at least that it is there itself."""
         if number in self.asked:
@@ -251,6 +404,10 @@
     def acknowledged(self, now, number):
         if self.probe is not None and self.probe[0] == number:
             self.probe[2] = True
+        elif number in self.asks:
+            # Through another, or late: it is there.
+            member = self.asks.pop(number)
+            member.heard, member.doubted = now, None
         elif number in self.asked:
             address, theirs = self.asked.pop(number)
             self.actions.send(address, [ACK, theirs, self.me.name, self.gossip()])
@@ -262,6 +419,9 @@
             # Two claim one name: who holds it keeps it while it is there.
             self.actions.log(f"peers: {their_address} claims the name {name}, which {known.address} holds")
             self.actions.send(their_address, [CLASH, [*known.words()]])
+            if known is not self.me:
+                # It may have died a moment ago, and its successor be at another address.
+                self.knock(known, "claim", self.DOUBT)
             return
         self.send_state(their_address)
         self.hear(now, [[*words, name]])
@@ -272,8 +432,10 @@
     def on_clash(self, now, words):
         _, name, address, _, birth = words
         if name == self.me.name and birth != self.me.birth:
-            self.actions.log(f"peers: the name {name} is held by {address}; this instance stays alone")
-            self.stopped = True
+            # It asks again: who holds the name may be gone by then.
+            if not self.alone:
+                self.actions.log(f"peers: the name {name} is held by {address}; this instance stays alone")
+            self.alone = True
 
     def send_state(self, address):
         everyone = [[*self.members[name].words(), self.me.name] for name in sorted(self.members)]
@@ -284,7 +446,11 @@
         """Whole states are exchanged now and then with one at random, the dead included: two halves that have
         taken each other for dead meet again so. Who has been forgotten is not a member."""
         for name in [name for name, member in self.members.items()
-                     if member.state in (DEAD, LEFT) and now - member.since > self.kept]:
+                     if (member.state == LEFT or member.certain) and now - member.since > self.kept]:
+            del self.members[name]
+        # Whose death nobody saw may only be cut off: kept until it is certain or an operator takes it off.
+        doubtful = [name for name, member in self.members.items() if member.state == DEAD and not member.certain]
+        for name in doubtful[:-self.MOST_DOUBTFUL]:
             del self.members[name]
         others = [self.members[name] for name in sorted(self.members)
                   if name != self.me.name and self.members[name].state != LEFT]
@@ -302,6 +468,8 @@
         for state, name, address, incarnation, birth, by in updates:
             if state not in RANK:
                 raise ValueError(f"{state!r} is no state of a member")
+            if (name, birth) in self.removed:
+                continue
             if name == self.me.name:
                 self.hear_of_me(now, state, incarnation, birth, by)
             else:
@@ -319,6 +487,9 @@
             self.health = min(self.MOST_HEALTH, self.health + 1)
             self.rumours.add(self.me, self.me.name)
             self.deny(by)
+        elif state == LEFT and not self.alone:
+            self.alone = True
+            self.actions.log("peers: an operator took this instance off; it comes back with its next start")
 
     def deny(self, by):
         """At once, to who said so and to a few more: what rides on probes may come too late."""
@@ -342,6 +513,7 @@
             elif state == DEAD:
                 # Kept, so that an old rumour does not bring it back.
                 self.members[name] = Member(name, address, incarnation, birth, DEAD, now)
+                self.seek_proof(now, self.members[name])
             return
         if known.birth != birth:
             # Another process under the name: it counts where it is ahead, or where the one known is gone.
@@ -358,12 +530,18 @@
                 self.confirm(now, known, by)
             elif known.state == ALIVE and incarnation >= known.incarnation:
                 self.accuse(now, known, incarnation, by)
+                # A few see for themselves: what several found apart is likelier, and sooner certain.
+                if known.doubted is None and self.woke is None and \
+                        self.random() * (len(self.members) - 2) < self.CHECKS:
+                    known.doubted = now
+                    self.knock(known, "doubt", self.DOUBT)
         elif known.state in (ALIVE, SUSPECT) and incarnation >= known.incarnation:
             known.incarnation = incarnation
             self.set_gone(now, known, state, by)
 
     def set_alive(self, now, member, address, incarnation, birth, by):
         old, changed = member.state, member.birth != birth
+        member.doubted, member.buried, member.certain, member.heard = None, None, False, now
         member.address, member.incarnation, member.birth = address, incarnation, birth
         member.state, member.since, member.deadline = ALIVE, now, None
         self.rumours.add(member, by)
@@ -373,9 +551,17 @@
     def set_gone(self, now, member, state, by):
         old = member.state
         member.state, member.since, member.deadline = state, now, None
+        if state == LEFT:
+            self.forbid(member)
+        else:
+            self.seek_proof(now, member)
         self.rumours.add(member, by)
         self.actions.changed(member, old)
 
+    def seek_proof(self, now, member):
+        if not member.certain:
+            self.actions.alarm(now + self.uniform(0.0, self.period), ("prove", member.name, member.birth))
+
     def accuse(self, now, member, incarnation, by):
         member.state, member.incarnation, member.since = SUSPECT, incarnation, now
         member.accusers = (by,)
@@ -402,10 +588,21 @@
             told = min(most, len(member.accusers) - 1)
             wait = fastest * (self.SLOWEST - (self.SLOWEST - 1) * math.log(told + 1) / math.log(most + 1))
         member.deadline = member.since + wait
-        self.actions.alarm(max(now, member.deadline), "suspects")
+        self.actions.alarm(max(now, self.last_call(member)), "suspects")
+
+    def last_call(self, member):
+        """When the last knock has to begin."""
+        return member.deadline - self.BURIAL[self.lossy] * self.period
 
     def end_suspicions(self, now):
+        """Nobody is buried whom a connection still reaches, nor by one that was stopped itself."""
         for name in sorted(self.members):
             member = self.members[name]
-            if member.state == SUSPECT and member.deadline is not None and now >= member.deadline:
-                self.set_gone(now, member, DEAD, self.me.name)
+            if member.state != SUSPECT or member.deadline is None or member.buried is not None or \
+                    now < self.last_call(member):
+                continue
+            if self.woke is not None:
+                member.since = now
+                self.set_deadline(now, member)
+            else:
+                self.knock_last(now, member)
