Proxies know each other: links, what follows while views differ, drains and witnesses ([peers])

Need: no daemon could name a peer, and every proxy judged by its own sight alone; `fleet.proxies` was a fixed number, a drain was known to those whose list told it. Change: `peers/` on sockets: frames (keyed digest, the receiver's birth, a counter), links over UDP and TCP, bounded for each peer; `facts` (who may be at work, shares that never sum past the whole in any split), `drains`, `witness`, all free of I/O; `instance` joins them to the proxy, `control` is the operators' socket. The operator's file gains [peers]; without it nothing is imported or decided otherwise. Also seen on processes that were stopped (SIGSTOP 10 s): UP came up to 378 ms past the dial timeout, as lines that had lain in the system's buffers were given their whole time anew (`opened`), and what a server had said meanwhile was passed on before the alarm that was due (`dial_up`). Their age is now asked of the system (TCP_INFO) after a gap of the loop, and UP is not said late. Measured: random splits with newcomers on both sides, 300 seeds: shares sum to 1 at the most.

--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,155 @@
+"""What instances say and conclude, without sockets: frames, streams that misbehave, who may be at work, drains,
+witnesses."""
+
+import random
+
+import pytest
+
+from wheathill.peers.drains import Drains
+from wheathill.peers.facts import AGREED, ALONE, CUT_OFF, DOUBT, Facts
+from wheathill.peers.frames import Dropped, Seal, Window
+from wheathill.peers.witness import BAD, WELL, Witnesses
+
+KEY = b"k" * 32
+
+
+def pair():
+    return Seal("c", KEY, "a", 1), Seal("c", KEY, "b", 2)
+
+
+def dropped(call, *args):
+    with pytest.raises(Dropped) as why:
+        call(*args)
+    return str(why.value)
+
+
+def test_a_frame_is_good_once_and_for_one_process():
+    one, other = pair()
+    frame = one.close(2, ["ping", "x"])
+    assert other.open(frame) == ("a", 1, ["ping", "x"])
+    assert dropped(other.open, frame) == "played again"
+    assert dropped(Seal("c", KEY, "b", 3).open, frame) == "for another process"
+    assert dropped(one.open, frame) == "its own"
+
+
+def test_frames_that_are_not_taken():
+    one, other = pair()
+    frame = one.close(2, ["x"])
+    for place in range(len(frame)):
+        spoilt = frame[:place] + bytes([frame[place] ^ 1]) + frame[place + 1:]
+        assert dropped(other.open, spoilt) in ("damaged", "another version", "another key", "too long")
+        assert dropped(other.open, frame[:place]) == "damaged"
+    assert dropped(Seal("d", KEY, "b", 2).open, frame) == "another cluster"
+    assert dropped(Seal("c", b"l" * 32, "b", 2).open, frame) == "another key"
+    assert dropped(other.open, one.close(2, [])) == "nonsense"
+    assert dropped(Seal.length, frame, 3) == "too long"
+
+
+def test_counters_come_once_in_any_order():
+    chance, window = random.Random(1), Window()
+    counters = list(range(1, 900))
+    chance.shuffle(counters)
+    assert all(window.fresh(counter) for counter in counters)
+    assert not any(window.fresh(counter) for counter in counters)
+    assert window.fresh(5000) and not window.fresh(5000 - Window.WIDTH)
+
+
+def settled(facts, now, names):
+    for place, name in enumerate(names):
+        facts.member(now, name, place + 10, "alive", False)
+    for place, name in enumerate(names):
+        facts.told(name, place + 10, facts.digest(), True)
+    return facts.look(now, 0)
+
+
+def test_shares_shrink_at_once_and_grow_with_certainty():
+    facts = Facts(0.0, "a", 1, 5, (), aged=3000.0)
+    assert facts.state == ALONE and facts.share(0.0) == 1 / 6       # and one that may have been before
+    assert settled(facts, 100.0, "bcde") == AGREED
+    assert facts.share(4000.0) == 1 / 5
+    facts.member(5000.0, "b", 10, "dead", False)
+    assert facts.look(5000.0, 0) == DOUBT and facts.share(50_000.0) == 1 / 5
+    facts.member(51_000.0, "b", 10, "dead", True)
+    assert facts.share(51_000.0) == 1 / 5 and facts.share(54_000.0) == 1 / 4
+    facts.member(55_000.0, "c", 99, "alive", False)         # c anew: the one before may still count
+    assert facts.share(55_000.0) == 1 / 5
+    for name in "fgh":
+        facts.member(60_000.0, name, 7, "alive", False)
+    assert facts.share(60_000.0) == 1 / 7
+
+
+def test_cut_off_where_most_are_out_of_reach():
+    facts = Facts(0.0, "a", 1, 5, (), aged=0.0)
+    settled(facts, 0.0, "bcde")
+    for name, birth in (("b", 10), ("c", 11)):
+        facts.member(1.0, name, birth, "dead", False)
+    assert facts.look(1.0, 0) == DOUBT
+    facts.member(2.0, "d", 12, "dead", False)
+    assert facts.look(2.0, 0) == CUT_OFF
+    assert Facts(0.0, "a", 1, 5, ("a", "b", "c"), aged=0.0).fleet(0.0) == 3
+    assert facts.look(3.0, Facts.UNANSWERED) == CUT_OFF
+
+
+def test_no_split_with_newcomers_on_any_side_sums_past_the_whole():
+    """Random fleets, splits, certain deaths and newcomers; each side agrees within itself, or not yet."""
+    for seed in range(300):
+        chance = random.Random(seed)
+        old = [f"o{place}" for place in range(chance.randint(1, 9))]
+        sides = [[], []]
+        for name in old:
+            chance.choice(sides).append(name)
+        total = 0.0
+        for side in sides:
+            fresh = [f"f{id(side)}{place}" for place in range(chance.randint(0, 4))] if side else []
+            here = side + fresh
+            views = {}
+            for name in here:
+                facts = views[name] = Facts(-1e9, name, here.index(name) + 1, 1, (), aged=1.0)
+                facts.old = name in side
+                for other in old + fresh:
+                    if other != name:
+                        facts.member(0.0, other, (here + old).index(other) + 1, "alive" if other in here else "dead", False)
+                        facts.there[other].old = other in old
+            told = [name for name in here if chance.random() < 0.8]
+            for name, facts in views.items():
+                for other in told:
+                    if other != name:
+                        facts.told(other, here.index(other) + 1, views[other].digest(), other in side)
+                facts.state = DOUBT
+            total += sum(facts.share(0.0) for facts in views.values())
+        assert total <= 1.0 + 1e-9, seed
+
+
+def test_drains_come_back_only_by_something_newer():
+    drains = Drains()
+    assert drains.hear("x", 1, [["g", 1, True, 5.0]]) == ["g"] and drains.drains("g", 5.0)
+    assert not drains.drains("g", 6.0)                      # a later start
+    assert drains.hear("x", 1, [["g", 1, False, 5.0]]) == [] and drains.drains("g", 5.0)
+    drains.list_says("g", True, 5.0)
+    drains.hear("y", 1, [["g", 1, True, 5.0]])              # after the own list said so: may be another drain
+    drains.list_says("g", False, 5.0)
+    assert drains.drains("g", 5.0)
+    drains.hear("y", 2, [["g", 9, False, 5.0]])             # another process of that name says nothing for it
+    assert drains.drains("g", 5.0)
+    drains.hear("y", 1, [["g", 2, False, 5.0]])
+    assert not drains.drains("g", 5.0)
+    drains.hear("y", 1, [["g", 1, True, 5.0]])              # late
+    assert not drains.drains("g", 5.0) and drains.told() == [["g", 2, False, 5.0]]
+
+
+def test_witnesses():
+    def said(*words):
+        found = Witnesses(3000.0)
+        for source, server, how in words:
+            found.tell(100.0, source, [[server, how, 10.0]])
+        return found
+    assert said(("x", "g", BAD), ("y", "g", BAD)).verdicts(100.0, {}) == (["g"], [])
+    assert said(("x", "g", BAD)).verdicts(100.0, {}) == ([], [])                # one is none
+    assert said(("x", "g", BAD), ("y", "g", BAD)).verdicts(100.0, {"g": (WELL, 99.0)}) == ([], [])  # own sight
+    assert said(("x", "g", BAD), ("y", "g", BAD)).verdicts(4000.0, {}) == ([], [])  # old
+    alone = said(("x", "g", WELL), ("y", "g", WELL))
+    assert alone.verdicts(100.0, {"g": (BAD, 99.0)}) == ([], ["g"])
+    # One behind a bad way calls bad what others are served by: it weighs less, also where nobody contradicts.
+    cut = said(*[("x", f"g{place}", BAD) for place in range(4)], *[("y", f"g{place}", WELL) for place in range(4)],
+               *[("z", f"g{place}", WELL) for place in range(4)], ("x", "h", BAD), ("y", "h", BAD))
+    assert cut.verdicts(100.0, {}) == ([], [])
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -172,6 +172,7 @@
     linger: float = 1000.0              # for the peer's end after ours
     keep_alive: float = 30_000.0        # a peer that says nothing is asked by TCP whether it is there
     answer_margin: float = 15.0         # before a session's deadline, for its answer to get out
+    too_late: float = 500.0             # after a dial timeout nothing is said any more
     probe: float = 500.0
     standing: float = 40_000.0          # for connections from before the start to come up again
     list_line: int = 4 * 2 ** 20        # one line of a watch
@@ -227,6 +228,7 @@
     report_fields: list
     balancer: dict
     told: dict                          # the configuration as it was read
+    peers: object = None                # a `config.peers.Told`; none: it knows no other instance
 
     @property
     def mark(self):
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -6,11 +6,12 @@
 
 import hashlib
 import os
+from dataclasses import replace
 from typing import Annotated, Literal
 
 from msgspec import Meta, Struct, field
 
-from wheathill.config import Misconfigured, address, checked, node_of, surroundings
+from wheathill.config import Misconfigured, address, checked, node_of, peers, surroundings
 
 Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[!-~]+$",
                            description="printable, no blanks")]
@@ -90,6 +91,21 @@
     nines_full: Annotated[float, Meta(gt=0, le=1000)] = 3.0
 
 
+class Peers(Table):
+    """The other instances, where this one is to know them."""
+
+    cluster: Name
+    listen: Address
+    key_file: Annotated[str, Meta(min_length=1)]
+    name: Name | None = None
+    advertise: Address | None = None
+    seeds: list[Address] = []
+    roster: list[Name] = []
+    control: Annotated[str, Meta(min_length=1)] | None = None
+    period_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0
+    patience_ms: Annotated[float, Meta(ge=10, le=60_000)] = 300.0
+
+
 class File(Table):
     """An installation's proxy."""
 
@@ -109,6 +125,7 @@
     fleet: Fleet = field(default_factory=Fleet)
     prices: Prices = field(default_factory=Prices)
     goal: Goal = field(default_factory=Goal)
+    peers: Peers | None = None
 
 
 REPEATS = {"repeatable": "retryable", "referenced": "dedup", "once-only": "fragile"}
@@ -145,6 +162,10 @@
                 yield str(wrong)
 
 
+    if file.peers is not None:
+        yield from peers.contradictions(file)
+
+
 def platform_form(file):
     """The same, in the form that the platform tells a proxy."""
     hosts = [{"host": item.name, "dial": item.address, "site": item.zone, "block": item.cell,
@@ -194,4 +215,7 @@
 def read(path):
     """The file says all but what is handed to the process: `$NODE_FD`, `$TMPDIR`, and `$NODE_ADMIN_ADDR` where
     it names none."""
-    return node_of(platform_form(file_of(checked.load(path))), surroundings(os.environ))
+    values = checked.load(path)
+    file = file_of(values)
+    node = node_of({**platform_form(file), "peers": values.get("peers")}, surroundings(os.environ))
+    return node if file.peers is None else replace(node, peers=peers.told_of(file))
--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -1,6 +1,7 @@
 """The wiring of one proxy: its clock, sockets, log and signals, wherever its configuration comes from."""
 
 import asyncio
+import os
 import resource
 import signal
 import sys
@@ -22,11 +23,15 @@
     proxy = Proxy(node, carrier, clock, log)
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload, proxy, log, read)
-    loop.add_signal_handler(signal.SIGTERM, proxy.stop, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, proxy.stop, stopped.set)
+    loop.add_signal_handler(signal.SIGTERM, stop, proxy, stopped)
+    loop.add_signal_handler(signal.SIGINT, stop, proxy, stopped)
+    if node.peers:
+        join(proxy, carrier, clock, log)
     if node.admin:
         from wheathill.net.operators import OperatorsDoor
         door = OperatorsDoor(proxy)
+        if proxy.peers:
+            door.paths["/peers"] = {"GET": (proxy.peers.table,)}
         listen(carrier, "admin_addr", door.call, node.admin, door.room)
         log("operators' door", at=":".join(map(str, node.admin)))
     proxy.door = listen(carrier, "listen", proxy.client, node.listen, proxy.room, node.listen_fd)
@@ -39,6 +44,31 @@
     await stopped.wait()
 
 
+def join(proxy, carrier, clock, log):
+    """No two processes of one name may be taken for one another, whatever seed their file gives them: the number
+    that tells them apart is the system's."""
+    from wheathill.peers.instance import Peers
+    node = proxy.node
+    try:
+        proxy.peers = Peers(node.peers, proxy, carrier, clock, log, int.from_bytes(os.urandom(6), "big") | 1,
+                            node.balancer["proxies"])
+    except OSError as wrong:
+        if node.listen_fd is None:
+            raise Misconfigured(f"peers: {wrong}") from None
+        # The process that this one takes over from holds the address until it ends.
+        clock.after(node.peers.period, join, proxy, carrier, clock, log)
+    else:
+        clock.soon(proxy.peers.start)
+
+
+def stop(proxy, stopped):
+    def all_done():
+        if proxy.peers:
+            proxy.peers.leave()
+        stopped.set()
+    proxy.stop(all_done)
+
+
 def listen(carrier, key, *told):
     try:
         return carrier.listen(*told)
--- a/wheathill/lab/worlds/network.py
+++ b/wheathill/lab/worlds/network.py
@@ -126,7 +126,7 @@
     def listen(self, make_machine, address, room):
         return Door(self, make_machine, tuple(address), room)
 
-    def connect(self, machine, address):
+    def connect(self, machine, address, source=None):
         wire = VirtualWire(self, machine)
         wire.count(True)
         self.host.net.transmit(wire, self.host, tuple(address), wire.host.net.syn, wire, tuple(address))
@@ -223,7 +223,7 @@
             return
         if door is None or not door.host.alive:
             other = self.hosts_by_address.get(address) or wire.host
-            return self.transmit(wire, other, wire.host, wire.refused)
+            return self.transmit(wire, other, wire.host, wire.turned_away)
         if len(door.backlog) >= door.carrier.limits.backlog:
             self.clock.after(1000.0, self.syn, wire, address)     # dropped; the system asks again
             return
@@ -256,6 +256,7 @@
         self.held = False
         self.copied = False         # another process is to have it
         self.counted = False
+        self.refused = False
         self.inbox = deque()        # bytes, or None for the end, that were not read yet
         self.unsent = deque()
         self.on_way = 0             # bytes sent and not read by the peer
@@ -287,12 +288,12 @@
         if self.inbox:
             self.host.clock.soon(self.read)
 
-    def refused(self):
+    def turned_away(self):
         self.host.gate(self.life, self.tell_refused)
 
     def tell_refused(self):
         if not self.gone:
-            self.gone = True
+            self.gone = self.refused = True
             self.count(False)
             self.tell_lost(False)
 
@@ -452,6 +453,8 @@
     def open(self):
         return self.up and not self.over and not self.parted
 
+    waited = 0.0        # bytes are read as they come
+
     @property
     def unread(self):
         return bool(self.inbox)
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -49,7 +49,9 @@
         if listener is None:
             raise Malformed("c names no listener")
         client.listener = listener
-        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout)
+        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout) - self.waited(client)
+        if left < -self.limits.too_late:
+            return self.give_up(client)
         tenant = head.values.get("t")
         if tenant is not None and self.tenants and tenant not in self.tenants:
             raise Malformed("t names no tenant")
@@ -73,6 +75,21 @@
             client.set_timer(left, self.late, client)
             self.balancer.on_session(now, sess)
 
+    def waited(self, client):
+        """How long its line has lain here unread, which is nothing but where this process stood still."""
+        self.stood_still(self.now())
+        return client.wire.waited if self.now() < self.old_until else 0.0
+
+    def stood_still(self, now):
+        """Where a sweep is late by a whole one, what is read now and in a moment has waited as well."""
+        if now - self.swept > self.limits.sweep:
+            self.old_until = now + 2 * self.limits.sweep
+
+    def give_up(self, client):
+        """Its time was over long before its line was read."""
+        client.timer.cancel()
+        client.wire.abort()
+
     def note_id(self, head, sess):
         """Ids are new with every connection: one that was seen belongs to another client, and servers answer
         its second session with ERR. Packets that come through this proxy again are the exception."""
@@ -86,10 +103,16 @@
                 self.ids[oldest] = held
 
     def late(self, client):
-        """The decisions have missed a deadline, which only a fault can do: the client must not suffer."""
-        self.log_event("fault", where="decisions", what="no answer in time")
+        """The decisions have missed a deadline, which only a fault can do, or this process stood still: the client
+        must not suffer. One that was due long ago has given up, and is told nothing any more."""
+        behind = self.now() - client.sess.deadline - self.limits.answer_margin if client.sess else 0.0
+        self.log_event("fault" if behind < self.limits.sweep else "late", where="decisions",
+                       what="no answer in time", behind=round(behind))
         self.hung_up(client)
-        self.answer(client, b"ERR")
+        if behind < self.limits.too_late:
+            self.answer(client, b"ERR")
+        else:
+            self.give_up(client)
 
     def answer(self, client, line):
         """A session's final answer where it isn't UP: the one place where it is given, and counted for the
@@ -157,6 +180,7 @@
         self.clock.after(self.limits.sweep, self.sweep)
         now = self.now()
         self.worst_delay = max(self.worst_delay, now - self.swept)
+        self.stood_still(now)
         self.swept = now + self.limits.sweep
         for client in list(self.clients.values()):
             # Who reads nothing itself can't be brought an answer. One may end others of the same server.
@@ -244,6 +268,10 @@
 
     def dial_up(self, dial, line):
         client, sess, now = dial.client, dial.client.sess, self.now()
+        if sess in self.clients and now > sess.deadline + self.limits.answer_margin:
+            # This process stood still over the dial timeout, and what its server said waited to be read before the
+            # alarm that was due: UP is not said any more.
+            return self.late(client)
         self.figures.ended(client.listener, "completed")
         client.serve(dial, line)
         self.heard(dial.server)
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -56,13 +56,18 @@
             raise
         return Post(self, sock, make_machine)
 
-    def connect(self, machine, address):
+    def connect(self, machine, address, source=None):
+        """`source`: the host that it comes from, where the machine has several."""
         wire = Wire(self, lambda _: machine)
         # Counted from the start: a connection that is being set up holds a descriptor.
         wire.count(True)
-        wire.task = self.loop.create_task(wire.connect(address))
+        wire.task = self.loop.create_task(wire.connect(address, source))
         return wire
 
+    def datagrams(self, machine, address):
+        """Raises OSError. `machine.received(data, (host, port))` is called for each one."""
+        return Datagrams(self, machine, address)
+
 
 def listening(address, inherited, backlog):
     """Raises OSError. One that is inherited is shared with other processes: as it is, and not handed on."""
@@ -197,6 +202,7 @@
         self.over = False
         self.counted = False
         self.handed = False         # by another process
+        self.refused = False        # nobody listens there
 
     async def take(self, sock):
         try:
@@ -207,10 +213,12 @@
             if self.handed:
                 self.tell_lost(False)
 
-    async def connect(self, address):
+    async def connect(self, address, source):
         try:
-            await self.carrier.loop.create_connection(lambda: self, *address)
-        except OSError:
+            await self.carrier.loop.create_connection(lambda: self, *address,
+                                                      local_addr=(source, 0) if source else None)
+        except OSError as wrong:
+            self.refused = isinstance(wrong, ConnectionRefusedError)
             self.count(False)
             self.tell_lost(False)
 
@@ -296,6 +304,15 @@
         self.carrier.sockets += 1
         return handle
 
+    @property
+    def waited(self):
+        """ms since the last bytes came from the network (tcpi_last_data_recv of the system's TCP_INFO)."""
+        try:
+            told = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+            return float(struct.unpack_from("I", told, 52)[0])
+        except (OSError, struct.error):
+            return 0.0
+
     @property
     def unread(self):
         poll = select.poll()
@@ -352,6 +369,44 @@
         self.transport.abort()
 
 
+class Datagrams(Guarded, asyncio.DatagramProtocol):
+    """One socket for datagrams. What can't be sent at once is lost, as datagrams are."""
+
+    def __init__(self, carrier, machine, address):
+        self.carrier, self.machine = carrier, machine
+        self.transport = None
+        self.early = deque(maxlen=64)   # sent before the loop has the socket
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        sock.setblocking(False)
+        self.task = carrier.loop.create_task(carrier.loop.create_datagram_endpoint(lambda: self, sock=sock))
+
+    def connection_made(self, transport):
+        self.transport = transport
+        for data, address in self.early:
+            self.send(data, address)
+
+    def datagram_received(self, data, address):
+        self.guard(self.machine.received, data, address[:2])
+
+    def error_received(self, wrong):
+        """A machine that refuses: found out by whoever needs to know."""
+
+    def send(self, data, address):
+        if self.transport is None:
+            self.early.append((data, address))
+        elif not self.transport.get_write_buffer_size():
+            self.transport.sendto(data, address)
+
+    def close(self):
+        if self.transport is not None:
+            self.transport.close()
+
+
 class Post(Guarded):
     """A Unix socket to another process of the same user: bytes, and descriptors with them, which no transport
     of asyncio's can receive."""
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -21,7 +21,9 @@
         self.door = None        # where clients are taken in
         self.upgrade = None     # where another process may take over, or has
         self.handed_over = False
+        self.peers = None       # other instances, where they are known
         self.swept = self.worst_delay = 0.0     # when a sweep was due; the longest one was late since logged
+        self.old_until = 0.0    # until then lines may be read that have lain here while this process stood still
         self.take(node)
         self.started_with = node.told
         self.clock = clock
@@ -119,7 +121,8 @@
                 "left_out": self.left_out(self.now()),
                 "doubted": {server.name: round(server.doubt, 2) for server in self.balancer.roster.servers
                             if server.doubt != 1.0},
-                "further_withheld": self.balancer.budget.withheld}
+                "further_withheld": self.balancer.budget.withheld,
+                **({"peers": self.peers.figures()} if self.peers else {})}
 
     def left_out(self, now):
         """The ready servers that nothing new goes to, by name, and why."""
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -129,6 +129,14 @@
                     self.links[server].end(Outcome.RESET)
                 del self.servers[name]
                 self.addresses.pop(server, None)
+                if self.peers:
+                    self.peers.forget_server(name)
+
+    def told_by_peers(self, server, phase):
+        """Others were told of a drain, or that it is over, which this proxy's list doesn't say."""
+        if server.listed is not phase:
+            self.log_event("told by a peer", server=server.name, phase=phase.value)
+            self.balancer.on_list(self.now(), ListKind.BY_HAND, [(server, phase, server.weight, server.started)])
 
     def entry(self, host):
         name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
@@ -144,6 +152,8 @@
             raise ValueError("no address")
         if host.get("site") is not None:
             server.zone, server.cell = self.zones.get(host["site"], -1), cell
+        if self.peers:
+            phase = self.peers.on_entry(name, phase, born)
         self.servers[name] = server
         self.names.pop(name, None)
         self.names[name] = None
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -86,6 +86,7 @@
     DOUBT, BURIAL = (1.3, 3.5), (3.5, 8.0)
     CHECKS = 4                  # of those that hear of a suspicion, so many look for themselves
     MOST_REMOVED = MOST_DOUBTFUL = 1024
+    RECENT = 5.0                # periods that own sight of a member beats a rumour of its death
 
     def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every):
         self.actions = actions
@@ -110,7 +111,7 @@
         self.late = deque(maxlen=16)    # of the last probes: who answered late or not, else None
         self.unanswered = 0         # probes in a row that nobody answered
         self.woke = None            # since when it has been stopped itself and not been answered yet
-        self.removed = {}           # (name, birth) that an operator took off, for good
+        self.removed = {}           # (name, birth) of processes that are gone for good
 
     # Start and end
 
@@ -307,11 +308,12 @@
         since = member.buried if why == "burial" else member.doubted
         if why == "burial":
             member.buried = None
-        elif why == "doubt":
+        elif why in ("doubt", "rumour"):
             member.doubted = None
         if how == "refused":
             if not member.certain:
                 member.certain = True
+                self.forbid(member)
                 if member.state == DEAD:
                     self.actions.changed(member, DEAD)
                 else:
@@ -326,6 +328,8 @@
         elif self.woke is not None or since is None or member.heard > since or why == "claim":
             if member.state == SUSPECT:
                 self.set_deadline(now, member)
+        elif why == "rumour":
+            self.set_gone(now, member, DEAD, self.me.name)
         elif member.state == ALIVE:
             self.accuse(now, member, member.incarnation, self.me.name)
             self.knock_last(now, member)
@@ -390,6 +394,16 @@
         else:
             raise ValueError(f"{kind!r} is no kind of message")
 
+    def contact(self, now, name, birth, address):
+        """A process has spoken here itself, and not in the past. At the address of another one of its name it is
+        that one's successor, whether or not that death was noticed."""
+        known = self.members.get(name)
+        if known is None or known is self.me or known.birth == birth or known.address != address \
+                or (name, birth) in self.removed:
+            return
+        self.forbid(known)
+        self.set_alive(now, known, address, known.incarnation, birth, self.me.name)
+
     def hear_from(self, now, sender, address):
         member = self.members.get(sender)
         if member is not None and address == member.address:
@@ -415,7 +429,8 @@
     def on_join(self, now, address, words):
         state, name, their_address, incarnation, birth = words
         known = self.members.get(name)
-        if known is not None and known.birth != birth and self.holds_name(known):
+        if known is not None and known.birth != birth and known.address != their_address and \
+                self.holds_name(known):
             # Two claim one name: who holds it keeps it while it is there.
             self.actions.log(f"peers: {their_address} claims the name {name}, which {known.address} holds")
             self.actions.send(their_address, [CLASH, [*known.words()]])
@@ -516,8 +531,9 @@
                 self.seek_proof(now, self.members[name])
             return
         if known.birth != birth:
-            # Another process under the name: it counts where it is ahead, or where the one known is gone.
-            if state == ALIVE and incarnation > known.incarnation:
+            # Another process under the name: it counts where it is ahead, or where the one known is gone. Births
+            # have no order, but one that is surely gone or was succeeded at its address never counts again.
+            if state == ALIVE and (incarnation > known.incarnation or known.state in (DEAD, LEFT)):
                 if known.state == ALIVE and known.address != address:
                     self.actions.log(f"peers: {name} is at {address} now, and was at {known.address}")
                 self.set_alive(now, known, address, incarnation, birth, by)
@@ -536,9 +552,21 @@
                     known.doubted = now
                     self.knock(known, "doubt", self.DOUBT)
         elif known.state in (ALIVE, SUSPECT) and incarnation >= known.incarnation:
+            if state == DEAD and now - known.heard < self.RECENT * self.period:
+                return self.verify(now, known, incarnation, by)
             known.incarnation = incarnation
             self.set_gone(now, known, state, by)
 
+    def verify(self, now, member, incarnation, by):
+        """Own sight beats rumour: somebody, perhaps cut off from it, has buried one that spoke here a moment ago. It
+        is told, so that it denies, and knocked at; dead is it where that fails too."""
+        if member.doubted is None and self.woke is None:
+            member.doubted = now
+            self.knock(member, "rumour", self.DOUBT)
+            self.number += 1
+            said = [DEAD, member.name, member.address, incarnation, member.birth, by]
+            self.actions.send(member.address, [PING, self.number, self.me.name, [said]])
+
     def set_alive(self, now, member, address, incarnation, birth, by):
         old, changed = member.state, member.birth != birth
         member.doubted, member.buried, member.certain, member.heard = None, None, False, now
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -36,16 +36,9 @@
 
     def __init__(self, choose, size, least, moved_share, hard_time_out, keys_kept, keys_age,
                  zone, near, reach):
-        self.reach = reach
-        self.zone = zone
-        self.near = near
-        self.choose = choose
-        self.size = size
-        self.least = least
-        self.moved_share = moved_share
-        self.hard_time_out = hard_time_out
-        self.keys_kept = keys_kept
-        self.keys_age = keys_age
+        self.reach, self.zone, self.near, self.choose, self.size = reach, zone, near, choose, size
+        self.least, self.moved_share, self.hard_time_out = least, moved_share, hard_time_out
+        self.keys_kept, self.keys_age = keys_kept, keys_age
         self.home = [None] * size       # highest hash of all that are listed, whatever was shifted
         self.lowest = [math.inf] * size     # its score
         self.current = [None] * size
@@ -219,18 +212,14 @@
     """From the last few probe answers to doubling levels."""
 
     def __init__(self, names, proxies, fresh, together, late, full, late_for, floor, tells_late):
-        self.tells_late = tells_late
-        self.together = together
-        self.late_for = late_for
-        self.late = late
-        self.full = full
-        self.names = names
-        self.fresh = fresh
+        self.tells_late, self.together, self.late_for, self.late = tells_late, together, late_for, late
+        self.full, self.names, self.fresh = full, names, fresh
         # Load over capacity says most; a queue or a count of connections only orders the servers.
         self.source = next((name for name in ("x0", "util", "queue") if name in names), None)
         self.of_capacity = self.source in ("x0", "util")
+        self.share = 1.0 / proxies      # of what all proxies may do together
         # Until some connections are held: this proxy's part of a few dozen in all.
-        self.bearable = 40.0 / proxies
+        self.bearable = 40.0 * self.share
         self.found = deque(maxlen=5)    # the last of what it was found to be
         # A proxy that has just started holds nothing on servers that others have loaded: without a floor it
         # took each of its connections for a whole server and refused nearly all.
@@ -266,6 +255,14 @@
             self.found.append(held / len(warm) / max(0.05, fmean(loads)))
             self.bearable = median(self.found)
 
+    def take_share(self, share):
+        """What is found by own connections follows a larger share by itself, but a smaller one too late:
+        others are there that hold nothing yet, and would send as much again."""
+        less = min(1.0, share / self.share) if self.share else 1.0
+        self.found = deque((found * less for found in self.found), maxlen=self.found.maxlen)
+        self.bearable = self.bearable * less if self.found else 40.0 * share
+        self.share = share
+
     def expected(self, now, server):
         """The probed load with what this proxy has dialled since; 0 when nothing is known. Without
         it all sessions between two probes would crowd onto the server that looked best."""
@@ -326,13 +323,8 @@
     """Follows the list of servers; tells who joined and who left."""
 
     def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform, gone_binds):
-        self.gone_binds = gone_binds
-        self.spread = spread
-        self.actions = actions
-        self.sized = sized
-        self.must_ask = must_ask
-        self.drain_grace = drain_grace
-        self.uniform = uniform
+        self.gone_binds, self.spread, self.actions, self.sized = gone_binds, spread, actions, sized
+        self.must_ask, self.drain_grace, self.uniform = must_ask, drain_grace, uniform
         self.servers = {}       # ready ones, in order of name: the same at every proxy
         self.out = {}           # names of those that are out by hand -> since when
         self.back = {}          # of those put back -> (since when they were out, until when)
@@ -483,8 +475,7 @@
     def __init__(self, pause, stood, memory, shared_memory):
         self.pause, self.stood = pause, stood
         self.dials = deque(maxlen=16)
-        self.shared_memory = shared_memory
-        self.memory = memory
+        self.shared_memory, self.memory = shared_memory, memory
 
     def dialled(self, now, server, well):
         self.dials.append((now, server, well))
@@ -531,12 +522,8 @@
     """Rule 4: this proxy's part of what a server that has just started can take."""
 
     def __init__(self, uniform, levels, start_share, cold_for, multiple, window):
-        self.uniform = uniform
-        self.start_share = start_share
-        self.cold_for = cold_for
-        self.multiple = multiple
-        self.window = window
-        self.levels = levels
+        self.uniform, self.start_share, self.cold_for = uniform, start_share, cold_for
+        self.multiple, self.window, self.levels = multiple, window, levels
 
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
@@ -637,8 +624,7 @@
         self.actions, self.uniform, self.health = actions, uniform, health
         self.hold, self.longest_wait = hold, longest_wait
         self.most_set_ups, self.least_set_ups = most_set_ups, least_set_ups
-        self.pause = pause
-        self.cut_wait = cut_wait
+        self.pause, self.cut_wait = pause, cut_wait
         self.window = float(most_set_ups)
         self.cut_at = -math.inf
         self.next_at = -math.inf
@@ -685,21 +671,13 @@
 
     def __init__(self, actions, table, levels, roster, health, ways, cold, budget, probes, most_dials,
                  most_asked, recent):
-        self.ways = ways
-        self.actions = actions
-        self.budget = budget
-        self.probes = probes
-        self.most_asked = most_asked
-        self.recent = recent
+        self.ways, self.actions, self.budget, self.probes = ways, actions, budget, probes
+        self.most_asked, self.recent = most_asked, recent
         self.waiting = {}       # server -> sessions that wait for its answer
         self.patience = {}      # number of the wait -> (session, server)
         self.waits = 0
-        self.levels = levels
-        self.table = table
-        self.roster = roster
-        self.health = health
-        self.cold = cold
-        self.most_dials = most_dials
+        self.levels, self.table, self.roster, self.health = levels, table, roster, health
+        self.cold, self.most_dials = cold, most_dials
 
     def enter(self, now, sess):
         sess.slot = self.table.slot(sess)
@@ -826,13 +804,8 @@
     """Sends one dial at a time, and judges how it ended."""
 
     def __init__(self, actions, table, levels, health, cold, budget, alive):
-        self.levels = levels
-        self.budget = budget
-        self.alive = alive
-        self.actions = actions
-        self.table = table
-        self.health = health
-        self.cold = cold
+        self.levels, self.budget, self.alive, self.actions = levels, budget, alive, actions
+        self.table, self.health, self.cold = table, health, cold
 
     def enter(self, now, sess):
         if not self.budget.allows(now, sess):
@@ -904,8 +877,7 @@
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
                  nines=0.0, tells_late=False):
-        self.actions = actions
-        self.passes_through = passes_through
+        self.actions, self.passes_through = actions, passes_through
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
@@ -914,9 +886,11 @@
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, floor=5.0,
                                  late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK,
                                  tells_late=tells_late)
-        self.roster = Roster(actions, must_ask, min(ask_every / 2, proxies * self.LIST_CALL), drain_grace,
-                             sized, rng.uniform, gone_binds)
-        self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE, shared_memory=5000.0)
+        self.longest_spread = ask_every / 2
+        self.roster = Roster(actions, must_ask, min(self.longest_spread, proxies * self.LIST_CALL),
+                             drain_grace, sized, rng.uniform, gone_binds)
+        self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE,
+                             shared_memory=5000.0)
         self.ways = Ways(fresh=5 * self.TICK)
         self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
         self.budget = DialBudget(*(budget or (0.0, 0.0, 0.0)))
@@ -925,7 +899,8 @@
         self.probes = Probes(actions, may_probe, a_session=3.0, every=0.9 * self.TICK,
                              near_full=self.levels.full / 2)
         self.placement = Placement(actions, self.table, self.levels, self.roster, self.health, self.ways,
-                                   self.cold, self.budget, self.probes, most_dials, most_asked=4, recent=0.4 * self.TICK)
+                                   self.cold, self.budget, self.probes, most_dials, most_asked=4,
+                                   recent=0.4 * self.TICK)
         self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, self.budget,
                                  alive=self.TICK)
         self.next_probes = deque()
@@ -966,6 +941,20 @@
         if server is not None and (server.phase is Phase.READY) is out:
             self.on_list(now, ListKind.BY_HAND, [(server, server.listed, server.weight, server.started)])
 
+    def on_fleet(self, now, share):
+        """This proxy's part of what all may do together, as far as it knows who is there."""
+        self.levels.take_share(share)
+        self.roster.spread = min(self.longest_spread, self.LIST_CALL / max(share, 1e-6))
+
+    def on_witnesses(self, now, failing, here):
+        """Other proxies' sight: `failing` ones fail for them all and are tried by one session at a time, like
+        those that failed here; of those that fail `here` alone the way is to blame, and nothing shared."""
+        for server in failing:
+            if not self.health.ill(now, server):
+                server.results.extend([(now, False)] * 2)
+        self.health.dials = deque((dial for dial in self.health.dials if dial[1] not in here),
+                                  maxlen=self.health.dials.maxlen)
+
     def on_session(self, now, sess):
         # Clients that come again pay for nothing: in trouble each comes many times. Packets of open
         # connections pay: a proxy that takes over from another knows little of what it is handed.
