The lab plays real processes with faults between them, and proves that each took effect

Need: a green unit suite convinces nobody; claims about the fleet are to be shown on processes of the program. Change: `--world processes`: each proxy a `wheathill daemon FILE` of its own; a relay between instances (late, lost, doubled, overtaken, spoilt, cut, crawling, reset, half open, played again), which drops what asks for a connection by a socket filter, so that a cut is told from a process that stands still; SIGSTOP, a starved core, strangers with and without the key; conditions by what instances say and send; each fault counted from outside, else the run fails. Judges: views against the truth, deaths known, shares, drains told to all.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,187 @@
+"""Several real processes of the program that know one another, with faults put between them: every script of
+experiments/peers holds, every instance broken on purpose is named by a judge, and the rig leaves nothing behind.
+
+Plays run beside one another, each a process of its own; the longest first.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from wheathill.config import Misconfigured
+from wheathill.lab.judging.mutated import MUTANTS
+from wheathill.lab.scripts import language
+
+SCRIPTS = sorted(path.stem for path in pathlib.Path("experiments/peers").glob("*.toml"))
+# Each mutant, where it is seen, and what the judge says.
+SEEN = {"counts-only-the-alive": ("split-2-5", "shares sum to"),
+        "forgets-who-is-cut-off": ("split-2-5", "shares sum to"),
+        "rumour-beats-own-sight": ("pieces", "for dead"), "never-denies": ("pieces", "for dead"),
+        "keeps-its-birth": ("kill", "for dead"), "buries-who-stands-still": ("stopped", "only stands still"),
+        "takes-no-successor": ("all-but-one", "views differ"), "never-asks-the-dead": ("pieces", "for dead"),
+        "keeps-drains-to-itself": ("told-to-one", "was told that it drains"),
+        "own-list-undoes-drains": ("told-to-one", "was told that it drains")}
+WORKERS = max(2, min(6, (os.cpu_count() or 2) - 2))
+
+
+def path_of(script):
+    return f"experiments/peers/{script}.toml"
+
+
+def play(script, *more):
+    """(exit code, what was printed)."""
+    done = subprocess.run([sys.executable, "-m", "wheathill", "lab", "run", path_of(script), "--world", "processes",
+                           *more], capture_output=True, text=True, timeout=240)
+    return done.returncode, done.stdout + done.stderr
+
+
+@pytest.fixture(scope="module")
+def plays():
+    """(script, mutant or None) -> a future; all that any test here waits for."""
+    wanted = [(script, None) for script in SCRIPTS] + [(script, name) for name, (script, _) in SEEN.items()]
+    wanted.sort(key=lambda item: -language.read(path_of(item[0])).seconds)
+    with ThreadPoolExecutor(WORKERS) as pool:
+        yield {(script, name): pool.submit(play, script, *(["--mutant", name] if name else []))
+               for script, name in wanted}
+
+
+@pytest.mark.parametrize("script", SCRIPTS)
+def test_holds(plays, script):
+    code, text = plays[script, None].result()
+    assert code == 0 and "no rule broken" in text, text[-4000:]
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_mutant_is_named(plays, name):
+    script, says = SEEN[name]
+    code, text = plays[script, name].result()
+    assert code == 1 and any(line.startswith("BREACH") and says in line for line in text.splitlines()), text[-4000:]
+
+
+def children(pid):
+    return [int(path.parent.name) for path in pathlib.Path("/proc").glob("[0-9]*/stat")
+            if parent_of(path) == pid]
+
+
+def parent_of(path):
+    try:
+        return int(path.read_text().rpartition(")")[2].split()[1])
+    except (OSError, IndexError):
+        return None
+
+
+def wait_until(met, seconds=20.0):
+    until = time.monotonic() + seconds
+    while not met():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
+def test_a_killed_lab_leaves_no_process():
+    lab = subprocess.Popen([sys.executable, "-m", "wheathill", "lab", "run", path_of("kill"), "--world", "processes"],
+                           stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    wait_until(lambda: len(children(lab.pid)) == 7)
+    left = children(lab.pid)
+    lab.send_signal(signal.SIGKILL)
+    lab.wait()
+    wait_until(lambda: not any(pathlib.Path(f"/proc/{pid}").exists() for pid in left))
+
+
+def test_a_fault_without_effect_fails_the_run(tmp_path):
+    script = tmp_path / "idle.toml"
+    text = pathlib.Path(path_of("flapping")).read_text().partition("[[event]]")[0].replace("seconds = 26", "seconds = 4")
+    # Said of two that are not there any more by then: nothing passes that could be spoilt.
+    script.write_text(text + '[[event]]\nat_s = 2\ndo = "proxy-kill"\non = "n1"\n\n[[event]]\nat_s = 2.5\n'
+                      'do = "link"\non = "n1"\nwith = "n2"\none_way = true\nspoilt = 1\nfor_s = 0.4\n')
+    done = subprocess.run([sys.executable, "-m", "wheathill", "lab", "run", str(script), "--world", "processes"],
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 1 and "fault without effect: link on n1" in done.stdout
+
+
+@pytest.mark.parametrize("change, fault", [
+    (("event.0.with", "n9"), "event[0].with: 'n9' is no proxy"),
+    (("event.0.do", "ring"), None),
+    (("event.0.when", "n1 eats n2"), "event[0].when: 'n1 eats n2' is none of"),
+    (("proxies.peers", False), "event[0].do: link-flap needs proxies.peers")])
+def test_script_faults(change, fault):
+    if fault is None:
+        return language.read(path_of("flapping"), [change])
+    with pytest.raises(Misconfigured) as wrong:
+        language.read(path_of("flapping"), [change])
+    assert fault in str(wrong.value)
+
+
+# The operators' command
+
+def run_cli(*words):
+    return subprocess.run([sys.executable, "-m", "wheathill", *words], capture_output=True, text=True, timeout=20)
+
+
+def write_file(folder, name, ports, **more):
+    key = folder / "key"
+    if not key.exists():
+        key.touch(0o600)
+        key.write_text("k" * 32)
+    peers = {"cluster": "c", "listen": f"127.0.0.1:{ports[name][1]}", "key_file": str(key),
+             "seeds": [f"127.0.0.1:{peer}" for _, peer in ports.values()], "period_ms": 100.0, "patience_ms": 50.0,
+             "control": str(folder / f"{name}.sock"), **more}
+    path = folder / f"{name}.toml"
+    path.write_text(f'name = "{name}"\nlisten = "127.0.0.1:{ports[name][0]}"\n[[listener]]\nname = "orders"\n'
+                    '[[server]]\nname = "g1"\naddress = "127.0.0.1:9"\n[fleet]\nproxies = 2\n[peers]\n'
+                    + "".join(f"{key} = {json.dumps(value)}\n" for key, value in peers.items()))
+    return path
+
+
+@pytest.fixture
+def two(tmp_path):
+    import socket
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(4)]
+    free = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    ports = {"a": free[:2], "b": free[2:]}
+    paths = [write_file(tmp_path, name, ports) for name in ports]
+    running = [subprocess.Popen([sys.executable, "-m", "wheathill", "daemon", str(path)], stdout=subprocess.DEVNULL)
+               for path in paths]
+    yield paths, running, ports
+    for process in running:
+        process.kill()
+        process.wait()
+
+
+def test_operators_see_a_loss_and_take_the_member_off(two):
+    (first, second), running, _ = two
+    wait_until(lambda: run_cli("peers", str(first)).returncode == 0)
+    shown = run_cli("peers", str(first), "--compare").stdout
+    assert "all views alike" in shown and "asked: a, b" in shown
+    running[1].kill()
+    running[1].wait()
+    wait_until(lambda: "dead (seen)" in run_cli("peers", str(first)).stdout)
+    told = json.loads(run_cli("peers", str(first), "--json").stdout)
+    assert [member["state"] for member in told["members"]] == ["alive", "dead"]
+    assert run_cli("peers", str(first), "--remove", "b").stdout == "b is taken off\n"
+    wait_until(lambda: "left" in run_cli("peers", str(first)).stdout)
+    assert run_cli("peers", str(first), "--remove", "c").returncode == 2
+    assert run_cli("peers", str(second)).returncode == 2       # nobody answers there
+
+
+@pytest.mark.parametrize("more, fault", [
+    ({"seeds": ["nowhere"]}, "peers.seeds[0]"), ({"roster": ["x"]}, "peers.roster: 'a', this instance"),
+    ({"patience_ms": 500.0}, "peers.patience_ms: is not under"), ({"key_file": "/nowhere"}, "peers.key_file"),
+    ({"sedes": []}, "peers.sedes: no such key; did you mean seeds?")])
+def test_faults_of_the_file(tmp_path, more, fault):
+    found = run_cli("check", str(write_file(tmp_path, "a", {"a": [9001, 9002]}, **more)))
+    assert found.returncode == 2 and fault in found.stderr
+
+
+def test_a_key_that_others_may_read_is_refused(tmp_path):
+    path = write_file(tmp_path, "a", {"a": [9001, 9002]})
+    (tmp_path / "key").chmod(0o640)
+    assert "readable by its owner alone" in run_cli("check", str(path)).stderr
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -240,13 +240,15 @@
     ("at_s = 3", "at_s = 99", "event[0].at_s: 99 is past the script's end, 14"),
     ("at_s = 3", "", "event[0]: needs one of at_s and when"),
     ("at_s = 3", 'when = "it rains"', "event[0].when: 'it rains' is none of 'NAME holds N sessions', 'between OPEN "
-     "and UP of the next session [at NAME]', 'N sessions were asked for'"),
+     "and UP of the next session [at NAME]', 'N sessions were asked for', 'NAME suspects|buries|meets NAME', "
+     "'NAME has sent N messages of kind K'"),
     ("for_s = 2", "for_s = 20", "event[3].for_s: lasts past the script's end, 14"),
     ("factor = 1.5", "", "event[4].factor: is missing"),
     ('do = "drain"', 'do = "back"', "event[0]: nothing has befallen g1 before"),
     ('do = "drain"', 'do = "drian"', "event[0].do: invalid enum value 'drian', expected one of silent, pause, kill, "
      "back, erring, slow, drain, list-lies, by-hand, untrue, flap, proxy-kill, proxy-roll, proxy-pause, proxy-reload, proxy-upgrade, callers, store-slower, herd, "
-     "list-unreachable, list-torn, list-restarted, list-moved, costly, partition, way, cut"),
+     "list-unreachable, list-torn, list-restarted, list-moved, costly, partition, way, cut, link, link-flap, ring, "
+     "replay, split, proxy-starve, stranger"),
     ('listener = "orders"', 'listener = "odd"', "clients[0].listener: 'odd' is none of orders, reads"),
     ('name = "b"', 'name = "a"', "clients: 'a' stands twice")])
 def test_script_faults(old, new, fault):
--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -50,6 +50,17 @@
     click.echo(json.dumps(msgspec.json.schema(File), indent=2))
 
 
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="print all that is told")
+@click.option("--compare", is_flag=True, help="ask all that can be reached, and show where views differ")
+@click.option("--remove", metavar="NAME", help="take a member off that is lost for good")
+def peers(file, as_json, compare, remove):
+    """Show the instances that the proxy of FILE knows. Exits with 1 where its view is not agreed."""
+    from wheathill.peers import show
+    sys.exit(show.peers(file, as_json, compare, remove))
+
+
 @main.group()
 def lab():
     """Play scripted incidents against the real proxy, in simulated time or on loopback sockets."""
@@ -58,16 +69,17 @@
 @lab.command()
 @click.argument("script", type=click.Path())
 @click.option("--seed", type=int, help="of all chance; the script's own where left out")
-@click.option("--world", type=click.Choice(["virtual", "sockets"]), default="virtual", show_default=True)
+@click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
 @click.option("--policy", default="module", show_default=True,
               help="module, random, least-connections, two-choices or true-sight (virtual only)")
+@click.option("--mutant", help="processes only: instances broken on purpose (lab/judging/mutated)")
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--log", "log_path", type=click.Path(), help="keep every event there, one JSON line each")
 @click.option("--report", type=click.Path(), help="write a page with plots into this folder")
-def run(script, seed, world, policy, json_path, log_path, report):
+def run(script, seed, world, policy, mutant, json_path, log_path, report):
     """Play SCRIPT once; exit with 1 if a rule was broken."""
     from wheathill.lab.tools import experiments
-    sys.exit(experiments.run(script, seed, world, policy, json_path, log_path, report))
+    sys.exit(experiments.run(script, seed, world, policy, json_path, log_path, report, mutant))
 
 
 @lab.command()
@@ -75,7 +87,7 @@
 @click.option("--seeds", default="1..5", show_default=True, help="A..B")
 @click.option("--set", "changes", multiple=True, help="KEY=V1,V2: play it with each; may be repeated")
 @click.option("--policies", default="module", show_default=True, help="with commas between")
-@click.option("--world", type=click.Choice(["virtual", "sockets"]), default="virtual", show_default=True)
+@click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
 @click.option("--jobs", type=int, default=4, show_default=True)
 @click.option("--json", "json_path", type=click.Path(), help="keep all figures there")
 def sweep(script, seeds, changes, policies, world, jobs, json_path):
--- /dev/null
+++ b/wheathill/lab/judging/fleet.py
@@ -0,0 +1,206 @@
+"""Judges of instances that know one another: what each believes, set against what the lab knows to be true.
+
+Truth comes as `truth` events: who runs, who of these stands still, which pairs can't reach each other. Beliefs come
+as `believes` events, asked of each instance. Nothing is judged sooner than the script's limits allow, counted from
+when the truth it is about began to hold.
+"""
+
+from wheathill.lab.judging.judges import Judge
+
+GONE = ("dead", "left")
+
+
+class Views(Judge):
+    """Views are equal a while after the last fault's end; nobody who answers is held dead for long; every death is
+    known in time to all that run."""
+
+    rule = "views"
+
+    def __init__(self, *args, agree, false, known):
+        super().__init__(*args)
+        self.agree, self.false, self.known = agree, false, known
+        self.running, self.paused, self.cut = {}, {}, {}    # name (or pair) -> since when
+        self.gone = {}          # name -> since when it doesn't run
+        self.held = {}          # (who, whom) -> since when it is held for gone
+        self.fine = {}          # (who, whom) -> since when both run and reach each other
+        self.still = {}         # (who, whom) -> the same, but that the other stands still
+        self.changed = 0.0      # when the truth last changed
+        self.digests = {}       # name -> (when asked, digest)
+        self.said = {}          # breaches told, once each
+
+    def on_truth(self, now, running, paused, cut):
+        for kept, here in ((self.running, running), (self.paused, paused), (self.cut, cut)):
+            for key in here:
+                if key not in kept:
+                    kept[key] = now
+                    self.changed = now
+            for key in [key for key in kept if key not in here]:
+                del kept[key]
+                self.changed = now
+                if kept is self.running:
+                    self.gone[key] = now
+        for name in running:
+            self.gone.pop(name, None)
+            if name in paused:
+                self.digests.pop(name, None)
+        well = [name for name in running if name not in paused]
+        for one in running:
+            for other in running:
+                if one != other:
+                    fine = one in well and other in well and f"{one} {other}" not in cut \
+                        and f"{other} {one}" not in cut
+                    self.keep(self.fine, (one, other), fine, now)
+                    self.keep(self.still, (one, other), one in well and other in paused and not cut, now)
+        for pair in [pair for pair in self.fine if pair[0] not in running or pair[1] not in running]:
+            del self.fine[pair]
+
+    @staticmethod
+    def keep(kept, pair, here, now):
+        if here:
+            kept.setdefault(pair, now)
+        else:
+            kept.pop(pair, None)
+
+    def on_host(self, now, name, state):
+        if state == "killed":
+            # It may be back before the truth is next looked at.
+            self.changed = now
+            self.digests.pop(name, None)
+            for pair in [pair for pair in self.fine if name in pair]:
+                del self.fine[pair]
+            self.running.pop(name, None)
+
+    def on_believes(self, now, proxy, digest, members, **_):
+        if proxy not in self.running or proxy in self.paused:
+            return
+        for other, state in members.items():
+            if state in GONE:
+                held = self.held.setdefault((proxy, other), now)
+                since, still = self.fine.get((proxy, other)), self.still.get((proxy, other))
+                # Who has just become reachable again is met within the same time as views become equal.
+                if since is not None and now - max(held, since + self.agree - self.false) > self.false:
+                    self.once(now, proxy, f"holds {other} for {state} since {held:.0f}, reaching it since {since:.0f}")
+                if still is not None and now - max(held, still) > self.false:
+                    self.once(now, proxy, f"holds {other} for {state}, which only stands still since {still:.0f}")
+            else:
+                self.held.pop((proxy, other), None)
+            since = max(self.gone.get(other, now), self.running[proxy])
+            if state not in GONE and other in self.gone and now - since > self.known:
+                self.once(now, proxy, f"holds {other} for {state}, which is gone for {now - since:.0f} ms")
+        for (one, other), since in self.fine.items():
+            if one == proxy and other not in members and now - since > self.agree:
+                self.once(now, proxy, f"does not know {other} after {now - since:.0f} ms")
+        self.digests[proxy] = now, digest
+        if now - self.changed > self.agree and not self.paused and not self.cut:
+            fresh = {name: found for name, (when, found) in self.digests.items()
+                     if when - self.changed > self.agree and name in self.running}
+            if len(dict.fromkeys(fresh.values())) > 1:
+                self.once(now, proxy, f"views differ {now - self.changed:.0f} ms after the last change: " + " ".join(
+                    f"{name}={found}" for name, found in sorted(fresh.items())))
+
+    def once(self, now, proxy, what):
+        key = ("" if what.startswith("views differ") else proxy), what[:24]
+        if key not in self.said:
+            self.said[key] = now
+            self.breach(now, f"{proxy} {what}")
+
+    def close(self, now):
+        if now - self.changed > 2 * self.agree:
+            for name in sorted(self.running):
+                if name not in self.digests and name not in self.paused:
+                    self.breach(now, f"{name} has never said what it believes")
+
+
+class Shares(Judge):
+    """All shares of a limit together are one at the most, whatever the views; more than a moment's overlap of what
+    was asked at different times is a breach."""
+
+    rule = "shares"
+    OVERLAP = 1500.0
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.shares = {}
+        self.running = []
+        self.over = None        # since when the sum is over one
+        self.largest = 0.0
+
+    def on_truth(self, now, running, paused, cut):
+        self.running = running
+        self.shares = {name: share for name, share in self.shares.items() if name in running}
+
+    def on_host(self, now, name, state):
+        if state == "killed":
+            self.shares.pop(name, None)
+
+    def on_believes(self, now, proxy, share, **_):
+        if proxy in self.running:
+            self.shares[proxy] = share
+        total = sum(self.shares.values())
+        self.largest = max(self.largest, total)
+        if total <= 1.001:
+            self.over = None
+        elif self.over is None:
+            self.over = now
+        elif now - self.over > self.OVERLAP:
+            self.breach(now, f"shares sum to {total:.3f}: " + " ".join(
+                f"{name}={share:g}" for name, share in sorted(self.shares.items())))
+            self.over = float("inf")
+
+
+class ToldToAll(Judge):
+    """Rule 3 over the fleet: a server that one instance was told drains gets nothing new from any that it reaches,
+    `within` ms and the grace later."""
+
+    rule = 3
+
+    def __init__(self, *args, grace, within):
+        super().__init__(*args)
+        self.grace, self.within = grace, within
+        self.told = {}          # server -> (first proxy told, when)
+        self.of = {}            # session -> its proxy
+        self.fine = {}          # proxy -> since when it runs and reaches all others
+        self.said = {}
+
+    def on_told(self, now, proxy, server, health):
+        if health == "draining":
+            self.told.setdefault(server, (proxy, now))
+
+    def on_ready(self, now, server):
+        self.told.pop(server, None)
+
+    def on_cold(self, now, server, **_):
+        self.told.pop(server, None)
+
+    def on_truth(self, now, running, paused, cut):
+        for name in [name for name in self.fine if name not in running]:
+            del self.fine[name]
+        for name in running:
+            if name in paused or any(name in pair.split() for pair in cut):
+                self.fine.pop(name, None)
+            else:
+                self.fine.setdefault(name, now)
+
+    def on_open(self, now, sess, proxy, **_):
+        self.of[sess] = proxy
+
+    def on_dial(self, now, sess, server, first):
+        first_told, when = self.told.get(server, (None, 0.0))
+        proxy = self.of.get(sess)
+        if first_told is None or proxy == first_told or first_told not in self.fine or proxy not in self.fine:
+            return
+        late = first - max(when, self.fine[proxy], self.fine[first_told])
+        if late > self.grace + self.within + self.slack and (proxy, server) not in self.said:
+            self.said[proxy, server] = now
+            self.breach(now, f"{proxy} dialled it {late:.0f} ms after {first_told} was told that it drains", sess,
+                        server)
+
+
+class Effects(Judge):
+    """Not a rule of the program's: a fault that did nothing proves nothing."""
+
+    rule = "none"
+
+    def on_effect(self, now, do, on, count):
+        if not count:
+            self.breach(now, f"fault without effect: {do} on {on}")
--- a/wheathill/lab/judging/judges.py
+++ b/wheathill/lab/judging/judges.py
@@ -60,7 +60,7 @@
 
     def on_open(self, now, sess, proxy, deadline, mid, **_):
         self.open[sess] = {"at": now, "until": now + deadline + self.slack, "proxy": proxy, "answer": None,
-                           "mid": mid, "over": False}
+                           "mid": mid, "over": False, "stopped": False}
         self.ends.pop(sess, None)
 
     def on_line_out(self, now, sess):
@@ -70,7 +70,12 @@
     def on_host(self, now, name, state):
         # One that was told to end ("ended") may not cut anybody off.
         if state in ("up", "ended"):
-            self.down.pop(name, None)
+            since = self.down.pop(name, None)
+            if since is not None and state == "up":
+                # Whose time ended while its proxy stood still can't be answered in time; but UP is never late.
+                for known in self.open.values():
+                    if known["proxy"] == name and known["answer"] is None and since < known["until"] < now + 500.0:
+                        known["stopped"] = True
         else:
             self.down[name] = now
             if state == "killed":
@@ -79,7 +84,7 @@
                         known["over"] = True
 
     def excused(self, known):
-        return known["over"] or known["proxy"] in self.down
+        return known["over"] or known["proxy"] in self.down or known["stopped"]
 
     def on_up(self, now, sess, receipt, **_):
         self.receipts.setdefault(sess, {})[receipt] = now
@@ -99,7 +104,7 @@
         if known["answer"] is not None:
             return self.breach(now, f"a second answer, {word}, after {known['answer']}", sess)
         known["answer"] = word
-        if now > known["until"] and not self.excused(known):
+        if now > known["until"] and (word == "UP" and known["stopped"] or not self.excused(known)):
             self.breach(now, f"{word} came {now - known['until']:.0f} ms after the dial timeout", sess)
         if word == "UP":
             if rest not in self.receipts.get(sess, {}):
@@ -383,8 +388,9 @@
 
 
 def judge(events, now, *, slack, repeats, grace, multiple, window, proxies, budget=None, gone_binds=True,
-          kept=8):
-    """All breaches of a run that ended at `now`, in order of time. `budget`: (free, share, span in ms)."""
+          kept=8, more=()):
+    """All breaches of a run that ended at `now`, in order of time. `budget`: (free, share, span in ms). `more`:
+    makes further judges, of what they all share."""
     breaches, histories = [], {}
     common = breaches, histories, slack
     judges = [OneAnswer(*common), NoEffectTwice(*common, repeats=repeats),
@@ -392,6 +398,7 @@
               ColdServers(*common, multiple=multiple, window=window, proxies=proxies), Faults(*common)]
     if budget is not None:
         judges.append(BudgetOfDials(*common, **dict(zip(("free", "share", "span"), budget))))
+    judges += [make(*common) for make in more]
     for event in events:
         sess = event[2].get("sess")
         if sess is not None:
--- /dev/null
+++ b/wheathill/lab/judging/mutated.py
@@ -0,0 +1,85 @@
+"""Instances broken on purpose, each in one way that a judge of the fleet must name, as programs to be started:
+
+    python -m wheathill.lab.judging.mutated NAME daemon FILE
+"""
+
+import sys
+
+from wheathill.peers.drains import Drains
+from wheathill.peers.facts import Facts
+from wheathill.peers.instance import Peers
+from wheathill.peers.links import Knock
+from wheathill.peers.membership import DEAD, Membership
+
+
+def counts_only_the_alive():
+    """A share of those that are seen alive, as if the others did nothing."""
+    Facts.fleet = lambda self, now: 1 + len(self.reached())
+
+
+def forgets_who_is_cut_off():
+    told = Facts.member
+    Facts.member = lambda self, now, name, birth, state, certain: told(
+        self, now, name, birth, state, certain or state == DEAD)
+
+
+def rumour_beats_own_sight():
+    Membership.RECENT = 0.0
+    Membership.deny = lambda self, by: None
+
+
+def never_denies():
+    def hear_of_me(self, now, state, incarnation, birth, by):
+        pass
+    Membership.hear_of_me = hear_of_me
+
+
+def keeps_its_birth():
+    begin = Peers.__init__
+    Peers.__init__ = lambda self, told, proxy, carrier, clock, log, birth, meant: begin(
+        self, told, proxy, carrier, clock, log, sum(told.name.encode()), meant)
+
+
+def buries_who_stands_still():
+    Knock.connected = lambda self: None
+
+
+def takes_no_successor():
+    Membership.contact = lambda self, now, name, birth, address: None
+
+
+def never_asks_the_dead():
+    sync = Membership.sync
+
+    def only_alive(self, now):
+        kept = self.members
+        self.members = {name: member for name, member in kept.items() if member.state != DEAD}
+        sync(self, now)
+        self.members = {**kept, **self.members}
+    Membership.sync = only_alive
+
+
+def keeps_drains_to_itself():
+    Drains.list_says = lambda self, server, draining, started: None
+    Drains.told = lambda self: []
+
+
+def own_list_undoes_drains():
+    Drains.drains = lambda self, server, started: False
+
+
+MUTANTS = {call.__name__.replace("_", "-"): call for call in (
+    counts_only_the_alive, forgets_who_is_cut_off, rumour_beats_own_sight, never_denies, keeps_its_birth,
+    buries_who_stands_still, takes_no_successor, never_asks_the_dead, keeps_drains_to_itself,
+    own_list_undoes_drains)}
+
+
+def program(name):
+    """The words that start it, after the interpreter's."""
+    return "-m", "wheathill.lab.judging.mutated", name
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv.pop(1)]()
+    from wheathill.cli import main
+    main()
--- a/wheathill/lab/scripts/language.py
+++ b/wheathill/lab/scripts/language.py
@@ -16,6 +16,11 @@
 ON_PROXY = ("proxy-kill", "proxy-roll", "proxy-pause", "proxy-reload", "proxy-upgrade", "callers")
 ON_ALL = ("store-slower", "herd", "list-unreachable", "list-torn", "list-restarted", "list-moved", "costly",
           "partition", "way", "cut")
+# Between instances that are processes and know their peers; ON_SETS name several with commas between, or a zone.
+ON_SETS = ("link", "link-flap", "ring", "replay")
+ON_PEERS = (*ON_SETS, "split", "proxy-starve", "stranger")
+PROVEN = (*ON_PEERS, "proxy-kill", "proxy-roll", "proxy-pause", "kill", "back", "silent", "drain", "slow",
+          "store-slower", "list-unreachable", "list-lies", "herd", "partition")
 NEEDS_FACTOR = ("slow", "store-slower", "costly", "untrue")
 
 
@@ -81,7 +86,22 @@
     probes: bool = True
     weights: Literal["registered", "off"] = "registered"
     packets_pass: bool = False
-    restart_s: Seconds = 1.0
+    restart_s: Seconds | None = 1.0
+    peers: bool = False     # processes only: they know one another
+    roster: bool = False
+    seeds: Many = 3
+    meant: Annotated[int, Meta(ge=1, le=100_000)] | None = None     # as the file says; the count where left out
+    period_ms: Annotated[float, Meta(ge=50, le=60_000)] = 200.0
+    patience_ms: Annotated[float, Meta(ge=10, le=60_000)] = 80.0
+
+
+class Fleet(Table):
+    """What is judged of instances that know their peers, in ms."""
+
+    agree_ms: Ms = 5000.0       # after the last fault's end all views are equal
+    false_ms: Ms = 2000.0       # no longer is one held dead that answered before, or only stands still
+    told_ms: Ms = 1000.0        # until all that can be reached know of a drain
+    known_ms: Ms = 8000.0       # until a death is known to all that can know it
 
 
 class FrontTable(Table):
@@ -113,7 +133,7 @@
 
 
 class Event(Table):
-    do: Literal[(*ON_GATEWAY, *ON_PROXY, *ON_ALL)]
+    do: Literal[(*ON_GATEWAY, *ON_PROXY, *ON_ALL, *ON_PEERS)]
     at_s: Seconds | None = None
     when: str | None = None
     on: Name | None = None
@@ -129,6 +149,14 @@
     then: Literal["on", "reset", "half-open"] = "on"
     times: Many = 1
     leaves_s: Seconds = 3.0
+    parts: list[Name] = []      # of a split: each with commas between its names
+    cut: bool = False
+    loss: Share = 0.0
+    doubled: Share = 0.0
+    overtaken: Share = 0.0
+    spoilt: Share = 0.0
+    crawl: Count = 0            # of streams, bytes a second
+    key: bool = False           # a stranger that has the cluster's key
 
 
 class Script(Table):
@@ -147,13 +175,17 @@
     discovery: Registry = field(default_factory=Registry)
     proxies: Proxies = field(default_factory=Proxies)
     front: FrontTable = field(default_factory=FrontTable)
+    fleet: Fleet = field(default_factory=Fleet)
     event: list[Event] = []
 
 
 HOLDS = re.compile(r"(?P<on>[!-~]+) holds (?P<count>[0-9]+) sessions")
 BETWEEN = re.compile(r"between OPEN and UP of the next session(?: at (?P<on>[!-~]+))?")
 ASKED = re.compile(r"(?P<count>[0-9]+) sessions were asked for")
-CONDITIONS = (HOLDS, BETWEEN, ASKED)
+SAYS = re.compile(r"(?P<proxy>[!-~]+) (?P<what>suspects|buries|meets) (?P<other>[!-~]+)")
+SENT = re.compile(r"(?P<proxy>[!-~]+) has sent (?P<count>[0-9]+) messages of kind (?P<kind>[!-~]+)")
+CONDITIONS = (HOLDS, BETWEEN, ASKED, SAYS, SENT)
+SAID = {"suspects": "suspect", "buries": "dead", "meets": "alive"}
 
 
 def gateway_names(script):
@@ -170,6 +202,39 @@
     return [f"n{number}" for number in range(1, script.proxies.count + 1)]
 
 
+def expand(script, text):
+    """The names that `text` means: with commas between, zones for all that is there, `all` for every proxy."""
+    found = {}
+    for word in (text or "").split(","):
+        if word == "all":
+            found.update(dict.fromkeys(proxy_names(script)))
+        elif word in script.zones:
+            found.update({name: None for place, name in enumerate(proxy_names(script))
+                          if script.zones[place % len(script.zones)] == word})
+            found.update({name: None for name, _, zone, _ in gateway_names(script) if zone == word})
+        else:
+            found[word] = None
+    return list(found)
+
+
+def peer_faults(event, at, script, gateways, proxies):
+    if not script.proxies.peers:
+        yield f"{at}.do: {event.do} needs proxies.peers"
+    named = {"on": event.on, "with": event.with_, **{f"parts[{place}]": part
+                                                    for place, part in enumerate(event.parts)}}
+    for key, text in named.items():
+        for name in expand(script, text) if text else ():
+            if name not in proxies and not (event.do == "split" and name in gateways):
+                yield f"{at}.{key}: {name!r} is no proxy" + (" or gateway" if event.do == "split" else "")
+    if event.do == "split" and len(event.parts) < 2:
+        yield f"{at}.parts: needs two at least"
+    if event.do == "link" and not (event.cut or event.loss or event.doubled or event.overtaken or event.spoilt
+                                   or event.wait_ms or event.crawl or event.then != "on"):
+        yield f"{at}: a link that nothing befalls"
+    if event.do in ("link", "link-flap", "replay") and not event.with_:
+        yield f"{at}.with: is missing"
+
+
 def contradictions(script):
     gateways = [name for name, *_ in gateway_names(script)]
     proxies = proxy_names(script)
@@ -209,7 +274,19 @@
     match = event.when and next(filter(None, (form.fullmatch(event.when) for form in CONDITIONS)), None)
     if event.when and not match:
         yield f"{at}.when: {event.when!r} is none of 'NAME holds N sessions', 'between OPEN and UP of the " \
-              f"next session [at NAME]', 'N sessions were asked for'"
+              f"next session [at NAME]', 'N sessions were asked for', 'NAME suspects|buries|meets NAME', " \
+              f"'NAME has sent N messages of kind K'"
+    if match and match.re in (SAYS, SENT):
+        if not script.proxies.peers:
+            yield f"{at}.when: needs proxies.peers"
+        for name in (match["proxy"], match.groupdict().get("other", match["proxy"])):
+            if name not in proxies:
+                yield f"{at}.when: {name!r} is no proxy"
+    if event.do in ON_PEERS:
+        yield from peer_faults(event, at, script, gateways, proxies)
+        if event.on is None and event.do != "split":
+            yield f"{at}.on: {event.do} needs to know on what"
+        return
     named = match.groupdict().get("on") if match else None
     if named not in (None, *gateways):
         yield f"{at}.when: {named!r} is no gateway"
--- a/wheathill/lab/scripts/run.py
+++ b/wheathill/lab/scripts/run.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from wheathill.lab.scripts.scene import Scene, counts
+from wheathill.lab.scripts.scene import Scene, counts, stand_in_limits
 from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.proxy import Proxy
 
@@ -30,7 +30,8 @@
             out.write(orjson.dumps(self.figures, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE))
 
 
-def play(script, seed=None, world="virtual", policy="module", proxy=Proxy):
+def play(script, seed=None, world="virtual", policy="module", proxy=Proxy, program=None):
+    """`proxy`, `program`: what stands in for the proxy's class, or for the words that start its process."""
     seed = script.seed if seed is None else seed
     net = script.network
     network = {"same": net.same_ms, "cross": net.cross_ms, "client": net.client_ms, "jitter": net.jitter}
@@ -38,6 +39,9 @@
         # There each delivery costs what it costs.
         from wheathill.lab.worlds.sockets import SocketWorld
         place = SocketWorld(seed, network)
+    elif world == "processes":
+        from wheathill.lab.worlds.processes import ProcessWorld
+        place = ProcessWorld(seed, network, stand_in_limits(script), program)
     else:
         place = VirtualWorld(seed, {**network, "hop": net.hop_ms}, proxy=proxy)
     began = time.perf_counter()
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -4,6 +4,7 @@
 import gc
 import random
 from collections import Counter
+from functools import partial
 
 from wheathill.config import Limits, Misconfigured, operator
 from wheathill.lab.cast.callers import Callers
@@ -13,8 +14,11 @@
 from wheathill.lab.cast.gateway import Gateway
 from wheathill.lab.cast.store import Store
 from wheathill.lab.judging.baselines import decisions
+from wheathill.lab.judging.fleet import Effects, Shares, ToldToAll, Views
 from wheathill.lab.judging.judges import judge
-from wheathill.lab.scripts.language import ASKED, BETWEEN, HOLDS, gateway_names, proxy_names
+from wheathill.lab.scripts.faults import PeerFaults
+from wheathill.lab.scripts.language import (
+    ASKED, BETWEEN, HOLDS, PROVEN, SAID, SAYS, SENT, gateway_names, proxy_names)
 from wheathill.lab.scripts.record import Record
 from wheathill.lab.worlds.tap import Cut
 
@@ -29,7 +33,7 @@
                   accepts=64, keep_alive=600_000.0)
 
 
-class Scene:
+class Scene(PeerFaults):
     def __init__(self, script, seed, world, policy="module"):
         self.policy = policy
         self.script = script
@@ -42,6 +46,7 @@
         self.armed = []             # events that wait for a condition
         self.asked = 0
         self.restarts = {}          # proxy -> alarms of its roll
+        self.proofs = {}            # id of an event -> (event, how it is counted whether it took effect)
         self.record.watchers.append(self.watch)
         self.build()
 
@@ -83,14 +88,23 @@
                 if event.do in ("proxy-upgrade", "by-hand", "callers", "way")]
         if only and world.name != "virtual":
             raise Misconfigured(f"event: {only[0]} is played in the virtual world only")
+        if script.proxies.peers and world.name != "processes":
+            raise Misconfigured("proxies.peers: is played in the processes world only")
+        if world.name == "processes":
+            for event in script.event:
+                if event.do not in PROVEN:
+                    raise Misconfigured(f"event: whether {event.do} took effect is not proven in this world")
+            world.relay.watchers.append(self.watch_message)
         front = world.host("front", None, self.limits)
         self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
         self.seats, self.agents = {}, {}
         for name, zone in peers:
             host = world.host(f"agent-{name}", zone, self.limits)
             agent = self.agents[name] = Agent(name, self.registry, host, self.limits, self.dial)
-            self.seats[name] = world.proxy(name, zone, self.node_values(name, zone, agent), record.log(name),
-                                           *[held] * held)
+            file = self.file_of(name, zone, agent)
+            values = {**operator.platform_form(file), "seed": f"{self.seed}/{name}"}
+            more = {"held": held} if held else {"file": file} if world.name == "processes" else {}
+            self.seats[name] = world.proxy(name, zone, values, record.log(name), **more)
             self.seats[name].calls = "callers" in only
         self.people = world.host("clients", None, self.limits)
         self.crowds = []
@@ -106,18 +120,19 @@
                 wait=crowd.wait_ms, honours=crowd.honours, tries=crowd.tries, silence=7000.0,
                 returns=crowd.returns, leaves=crowd.leaves, mid_flow=script.proxies.packets_pass)))
 
-    def node_values(self, name, zone, agent):
-        """What a proxy is told, in the platform's form."""
+    def file_of(self, name, zone, agent):
+        """What a proxy is told, as an operator's file."""
         script, proxies = self.script, self.script.proxies
         kind = script.gateways[0]
-        file = operator.File(
+        return operator.File(
             name=name, listen=self.world.proxy_address(name), listener=script.listener,
             discovery=agent.host.address(), desk=script.desk, zone=script.zones, own_zone=zone,
             groups=any(crowd.groups for crowd in script.clients), packets_pass=proxies.packets_pass,
+            peers=self.world.peers_table(name, proxy_names(script), proxies) if proxies.peers else None,
             limits=operator.Limits(sockets=proxies.sockets, memory_mb=proxies.memory_mb, dials=proxies.dials,
                                    connect_ms=proxies.connect_ms, longest_wait_ms=proxies.longest_wait_ms),
             fleet=operator.Fleet(
-                proxies=proxies.count, weights=proxies.weights, drain_grace_ms=script.rules.drain_grace_ms,
+                proxies=proxies.meant or proxies.count, weights=proxies.weights, drain_grace_ms=script.rules.drain_grace_ms,
                 cold_s=kind.warm_s, cold_start_share=kind.warm_from, cold_multiple=script.rules.cold_multiple,
                 cold_window_ms=script.rules.cold_window_ms, probes=proxies.probes,
                 further_dials_s=script.rules.further_dials_s,
@@ -125,7 +140,6 @@
                 further_dials_share=script.rules.further_dials_share,
                 only_draining_binds=script.rules.only_draining_binds,
                 report_fields=FIELDS if proxies.probes else []))
-        return {**operator.platform_form(file), "seed": f"{self.seed}/{name}"}
 
     def dial(self, server, proxy):
         return self.gateways[server].host.address(proxy)
@@ -151,6 +165,8 @@
             self.world.run(script.seconds)
         finally:
             gc.enable()
+        for event, _ in list(self.proofs.values()):
+            self.prove(event)
         for _, people in self.crowds:
             people.stopping = True
 
@@ -171,7 +187,14 @@
         return judge(self.record.events, self.clock.now(), slack=self.world.slack(script), repeats=repeats,
                      grace=script.rules.drain_grace_ms, multiple=script.rules.cold_multiple,
                      window=script.rules.cold_window_ms, proxies=script.proxies.count, budget=budget,
-                     gone_binds=not rules.only_draining_binds)
+                     gone_binds=not rules.only_draining_binds,
+                     more=self.fleet_judges() if script.proxies.peers else ())
+
+    def fleet_judges(self):
+        limits = self.script.fleet
+        views = partial(Views, agree=limits.agree_ms, false=limits.false_ms, known=limits.known_ms)
+        told = partial(ToldToAll, grace=self.script.rules.drain_grace_ms, within=limits.told_ms)
+        return views, Shares, told, Effects
 
     # Proxies
 
@@ -190,6 +213,8 @@
             self.front.died(name)
 
     def restart_later(self, name):
+        if self.script.proxies.restart_s is None:
+            return
         self.clock.after(self.script.proxies.restart_s * 1000, self.start_again, name)
 
     def start_again(self, name):
@@ -224,7 +249,7 @@
         if kind == "open":
             self.sessions[fields["sess"]] = fields["proxy"]
             self.asked += 1
-        if self.armed and kind in ("open", "dial", "up"):
+        if self.armed and (kind in ("open", "dial", "up") or kind == "log" and fields["event"] == "peer"):
             for event in list(self.armed):
                 met = self.met(event, kind, fields)
                 if met:
@@ -243,6 +268,10 @@
         elif match := ASKED.fullmatch(event.when):
             if kind == "open" and self.asked >= int(match["count"]):
                 return None, fields["proxy"]
+        elif match := SAYS.fullmatch(event.when):
+            if kind == "log" and fields["node"] == match["proxy"] and fields["peer"] == match["other"] and \
+                    fields["state"] == SAID[match["what"]]:
+                return None, match["proxy"]
         return None
 
     def happen(self, event, gateway=None, proxy=None):
@@ -251,11 +280,15 @@
         self.record.note("event", do=event.do, on=on)
         act = getattr(self, "do_" + event.do.replace("-", "_"))
         undo = act(event, on)
+        if self.world.name == "processes":
+            self.expect(event, on)
         if event.for_s and undo:
             self.clock.after(event.for_s * 1000, self.undo, event, on, undo)
 
     def undo(self, event, on, undo):
         self.record.note("event over", do=event.do, on=on)
+        if id(event) in self.proofs:
+            self.prove(event)
         undo()
 
     def lost(self, name):
--- a/wheathill/lab/tools/experiments.py
+++ b/wheathill/lab/tools/experiments.py
@@ -47,14 +47,24 @@
 def check_policy(policy, world):
     if policy not in POLICIES:
         raise Misconfigured(f"--policy: {policy!r} is none of {', '.join(POLICIES)}")
-    if policy != "module" and world == "sockets":
+    if policy != "module" and world != "virtual":
         raise Misconfigured("--policy: baselines stand in for the module in the virtual world only")
 
 
-def run(path, seed, world, policy, json_path, log_path, report):
+def program_of(mutant, world):
+    if mutant is None:
+        return None
+    from wheathill.lab.judging.mutated import MUTANTS, program
+    if world != "processes" or mutant not in MUTANTS:
+        raise Misconfigured(f"--mutant: {mutant!r} is none of {', '.join(MUTANTS)}, in --world processes")
+    return program(mutant)
+
+
+def run(path, seed, world, policy, json_path, log_path, report, mutant=None):
     check_policy(policy, world)
+    program = program_of(mutant, world)
     script = scripts.read(path)
-    result = play(script, seed, world, policy)
+    result = play(script, seed, world, policy, program=program)
     figures = result.figures
     print(f"{script.name}: {script.about}")
     print(f"seed {figures['seed']}, {world}, {script.seconds:g} s in {figures['took_s']:.2f} s, "
@@ -126,7 +136,7 @@
     cells = [(combination, policy) for combination in combinations for policy in policies]
     todo = [(path, combination, policy, seed, world) for combination, policy in cells for seed in seeds]
     # Sockets share the machine: more than one at a time would measure each other.
-    workers = 1 if world == "sockets" else max(1, jobs)
+    workers = 1 if world != "virtual" else max(1, jobs)
     with ProcessPoolExecutor(workers, multiprocessing.get_context("spawn")) as pool:
         found = list(tqdm(pool.map(play_one, todo), total=len(todo), unit="run", file=sys.stderr,
                           disable=not sys.stderr.isatty()))
--- /dev/null
+++ b/wheathill/lab/worlds/processes.py
@@ -0,0 +1,329 @@
+"""The processes world: as the sockets world, but each proxy is a `wheathill daemon FILE` with a folder, a file,
+ports and a log of its own, that knows its peers; all that they say to one another passes the relay.
+
+What is true is taken from outside: the lab knows which process runs, which stands still, and who can reach whom. What
+an instance believes is asked over its control socket, to be judged against that. Children die with the lab, whatever
+ends it, by the system's parent-death signal.
+"""
+
+import ctypes
+import os
+import random
+import resource
+import signal
+import subprocess
+import sys
+
+import msgspec
+import orjson
+
+from wheathill.config import operator
+from wheathill.lab.worlds.relay import Relay
+from wheathill.lab.worlds.sockets import SPARE_FILES, SocketSeat, SocketWorld
+from wheathill.net.machine import Machine
+
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+VIEW_MS = 250.0         # how often each instance is asked what it believes
+PUBLIC = "127.0.0.1"
+
+
+def dies_with_the_lab(sockets=None, memory_mb=None):
+    """Called in the child before the program starts."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if sockets:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+    if memory_mb:
+        resource.setrlimit(resource.RLIMIT_AS, (memory_mb * 2 ** 20,) * 2)
+
+
+def toml(values, path=""):
+    """Lines of a TOML document: plain keys first, then tables and arrays of tables."""
+    tables = []
+    for key, value in values.items():
+        at = f"{path}.{key}" if path else key
+        if isinstance(value, dict):
+            tables.append((f"[{at}]", value, at))
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            tables += [(f"[[{at}]]", item, at) for item in value]
+        elif value is not None:
+            yield f"{key} = {orjson.dumps(value).decode()}"
+    for head, value, at in tables:
+        yield head
+        yield from toml(value, at)
+
+
+class ProcessSeat(SocketSeat):
+    """The place of one instance: its folder stays when its process goes."""
+
+    program = ("-m", "wheathill")
+
+    def __init__(self, world, name, zone, values, log, file):
+        super().__init__(world, name, zone, values, log)
+        self.file = file
+        self.folder = os.path.join(world.folder.name, name)
+        os.mkdir(self.folder, 0o700)
+        self.path = os.path.join(self.folder, "daemon.toml")
+        self.paused = False
+        self.burners = []
+        self.asker = None
+        self.view_asked = 0.0
+
+    def write(self):
+        values = msgspec.to_builtins(self.file)
+        values["discovery"] = self.values["discovery"]
+        values["seed"] = self.values["seed"]
+        with open(self.path, "w") as out:
+            out.write("\n".join(toml(values)) + "\n")
+
+    def start(self):
+        self.starts += 1
+        self.write()
+        self.paused = False
+        sockets, memory = self.values["limits"]["sockets"] + SPARE_FILES + 16, self.world.memory.get(self.name)
+        with open(os.path.join(self.folder, f"errors.{self.starts}"), "wb") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, *self.program, "daemon", self.path], stdout=subprocess.PIPE, stderr=errors,
+                env={**os.environ, "TMPDIR": self.folder},
+                preexec_fn=lambda: dies_with_the_lab(sockets, memory))
+        os.set_blocking(self.process.stdout.fileno(), False)
+        self.world.loop.add_reader(self.process.stdout.fileno(), self.read, self.process)
+        self.world.await_listening(self, self.starts)
+
+    def read(self, process):
+        super().read(process)
+        if not self.running:
+            self.world.gone(self)
+
+    def kill(self):
+        super().kill()
+        self.world.gone(self)
+
+    def state(self):
+        """The process's state as the system has it: R, S, T (stopped), ..., or None where there is none."""
+        try:
+            with open(f"/proc/{self.process.pid}/stat") as stat:
+                return stat.read().rpartition(")")[2].split()[0]
+        except (OSError, AttributeError):
+            return None
+
+    def waited_ms(self):
+        """How long it has waited for a core while it could have run."""
+        try:
+            with open(f"/proc/{self.process.pid}/schedstat") as stat:
+                return int(stat.read().split()[1]) / 1e6
+        except (OSError, AttributeError):
+            return 0.0
+
+    def pause(self):
+        super().pause()
+        self.paused = self.running
+
+    def resume(self):
+        super().resume()
+        self.paused = False
+
+    def starve(self, neighbours):
+        """On one core, beside neighbours that never rest."""
+        core = self.world.starved_core
+        os.sched_setaffinity(self.process.pid, {core})
+        for _ in range(neighbours):
+            burner = subprocess.Popen([sys.executable, "-c", "while True: pass"],
+                                      preexec_fn=lambda: dies_with_the_lab())
+            os.sched_setaffinity(burner.pid, {core})
+            self.burners.append(burner)
+
+    def feed(self):
+        for burner in self.burners:
+            burner.kill()
+            burner.wait()
+        self.burners = []
+        if self.running:
+            os.sched_setaffinity(self.process.pid, os.sched_getaffinity(0))
+
+    def ask(self):
+        """What it believes; one question at a time, as one that stands still answers none."""
+        if self.running and self.asker is None:
+            asker = Asker(self, self.world)
+            try:
+                self.world.carrier.reach(self.folder, "control", asker.take)
+            except OSError:
+                return
+            self.asker = asker
+
+
+class Asker(Machine):
+    """One question at a control socket."""
+
+    def __init__(self, seat, world):
+        super().__init__(seat, world.carrier.limits, world.clock)
+        self.seat, self.world = seat, world
+        self.text = b""
+
+    def take(self, wire):
+        self.wire = wire
+        return self
+
+    def connected(self):
+        self.set_timer(3000.0, self.over)
+        self.wire.send(b"{}\n")
+
+    def received(self, data, handles=()):
+        self.text += data
+        if self.text.endswith(b"\n"):
+            found = orjson.loads(self.text)
+            self.over()
+            self.world.believes(self.seat, found)
+
+    def lost(self, reset):
+        self.over()
+
+    def fault(self):
+        self.over()
+
+    def over(self):
+        self.timer.cancel()
+        self.wire.close()
+        if self.seat.asker is self:
+            self.seat.asker = None
+
+
+class ProcessWorld(SocketWorld):
+    name = "processes"
+    opening = 1500.0
+
+    def __init__(self, seed, network, limits, program=None):
+        super().__init__(seed, network)
+        from wheathill.lab.worlds.host import raise_fault
+        from wheathill.net.driver import Carrier
+        self.carrier = Carrier(self.loop, limits, raise_fault)
+        self.relay = Relay(self.loop, self.carrier, self.clock, random.Random(f"{seed}/relay"),
+                           network["same"], network["jitter"])
+        self.program = program or ProcessSeat.program
+        self.key = os.path.join(self.folder.name, "key")
+        with open(self.key, "wb", opener=lambda path, flags: os.open(path, flags, 0o600)) as out:
+            out.write(random.Random(f"{seed}/key").randbytes(24).hex().encode())
+        self.memory = {}
+        self.starved_core = min(os.sched_getaffinity(0))
+        self.peers = {}         # name -> (private, public)
+
+    # Addresses
+
+    def peers_of(self, name, names):
+        """(private, public) of an instance, as (host, port) each. Private hosts differ by lab and instance."""
+        if name not in self.peers:
+            low, high = os.getpid() % 250, os.getpid() // 250 % 250 + 2
+            private = f"127.{high}.{low}.{names.index(name) + 1}", 20_000
+            self.peers[name] = private, (PUBLIC, self.free_port())
+            self.relay.end(name, *self.peers[name])
+        return self.peers[name]
+
+    def peers_table(self, name, names, told):
+        private, public = self.peers_of(name, names)
+        seeds = [self.peers_of(other, names)[1] for other in names[:told.seeds]]
+        return operator.Peers(
+            cluster="lab", listen="%s:%d" % private, advertise="%s:%d" % public, key_file=self.key,
+            seeds=["%s:%d" % seed for seed in seeds], roster=list(names) if told.roster else [],
+            control=os.path.join(self.folder.name, name, "control"),
+            period_ms=told.period_ms, patience_ms=told.patience_ms)
+
+    def proxy(self, name, zone, values, log, file):
+        seat = self.seats[name] = ProcessSeat(self, name, zone, values, log, file)
+        seat.program = self.program
+        return seat
+
+    # Truth
+
+    def await_listening(self, seat, start):
+        """Its public address opens as soon as something listens at the private one."""
+        if seat.starts != start or not seat.running or seat.name not in self.peers:
+            return
+        Finder(self, seat, start).begin()
+
+    def gone(self, seat):
+        if seat.name in self.peers:
+            self.relay.ends[seat.name].listens(False)
+
+    def reaches(self, one, other):
+        """Whether datagrams go both ways between two instances."""
+        ways = [self.relay.ways.get(pair) for pair in ((one, other), (other, one))]
+        return not any(way is not None and way.cuts for way in ways)
+
+    def truth(self):
+        """Who runs, who of these stands still, and which pairs of them can't reach each other."""
+        running = [name for name, seat in self.seats.items() if seat.running]
+        return {"running": running, "paused": [name for name in running if self.seats[name].paused],
+                "cut": [f"{one} {other}" for place, one in enumerate(running) for other in running[place + 1:]
+                        if not self.reaches(one, other)]}
+
+    def believes(self, seat, found):
+        self.record.note("believes", proxy=seat.name, state=found["state"], digest=found["digest"],
+                         fleet=found["fleet"], share=found["share"], differs=len(found["differs"]),
+                         members={member["name"]: member["state"] for member in found["members"]})
+
+    def watch(self):
+        if any(self.peers):
+            self.clock.after(VIEW_MS, self.watch)
+            self.record.note("truth", **self.truth())
+            for seat in self.seats.values():
+                seat.ask()
+
+    # Faults
+
+    def ways_between(self, ones, others, one_way):
+        return [self.relay.way(one, other) for one in ones for other in others if one != other] + \
+            ([] if one_way else [self.relay.way(other, one) for one in ones for other in others if one != other])
+
+    def cut_ways(self, ways, on):
+        for way in ways:
+            way.cuts += 1 if on else -1
+        self.relay.filter()
+
+    def change_ways(self, ways, changes):
+        """Returns how to undo it. `changes`: fields of Way."""
+        before = [{field: getattr(way, field) for field in changes} for way in ways]
+        for way in ways:
+            for field, value in changes.items():
+                setattr(way, field, value)
+        self.relay.filter()
+
+        def undo():
+            for way, fields in zip(ways, before):
+                for field, value in fields.items():
+                    setattr(way, field, value)
+            self.relay.filter()
+        return undo
+
+    def run(self, seconds):
+        self.watch()
+        super().run(seconds)
+
+    def close(self):
+        for seat in self.seats.values():
+            seat.feed()
+        self.relay.close()
+        super().close()
+
+
+class Finder(Machine):
+    """Tries the private address of a process that has started until it takes streams."""
+
+    EVERY = 10.0
+
+    def __init__(self, world, seat, start):
+        super().__init__(world, world.carrier.limits, world.clock)
+        self.world, self.seat, self.start = world, seat, start
+
+    def begin(self):
+        self.wire = self.world.carrier.connect(self, self.world.peers[self.seat.name][0])
+
+    def connected(self):
+        self.wire.abort()
+        if self.seat.starts == self.start and self.seat.running:
+            self.world.relay.ends[self.seat.name].listens(True)
+
+    def lost(self, reset):
+        if not self.wire.open:
+            self.clock.after(self.EVERY, self.world.await_listening, self.seat, self.start)
+
+
