--- a/wheathill/lab/judging/fleet.py
+++ b/wheathill/lab/judging/fleet.py
@@ -204,3 +204,57 @@
     def on_effect(self, now, do, on, count):
         if not count:
             self.breach(now, f"fault without effect: {do} on {on}")
+
+
+class Timing(Judge):
+    """No judge: how long things took, in ms. `agreed`: from a change of the truth (or its end, where a cut or a stop
+    heals) until all views are equal; `first`, `all`: from a death until one, and all that run, say so."""
+
+    def __init__(self):
+        super().__init__([], {}, 0.0)
+        self.running, self.paused, self.cut = [], [], []
+        self.changed = None
+        self.digests = {}
+        self.deaths = {}        # name -> (when, {who says so: when})
+        self.found = {"agreed": [], "first": [], "all": []}
+
+    def on_truth(self, now, running, paused, cut):
+        if (running, paused, cut) != (self.running, self.paused, self.cut):
+            self.running, self.paused, self.cut = running, paused, cut
+            self.changed, self.digests = now, {}
+
+    def on_host(self, now, name, state):
+        if state == "killed":
+            self.deaths[name] = now, {}
+        elif state == "up":
+            self.deaths.pop(name, None)
+
+    def on_believes(self, now, proxy, digest, **_):
+        if self.changed is None or self.paused or self.cut:
+            return
+        self.digests[proxy] = digest
+        if all(name in self.digests for name in self.running) and \
+                len(dict.fromkeys(self.digests[name] for name in self.running)) == 1:
+            self.found["agreed"].append(round(now - self.changed))
+            self.changed = None
+
+    def on_log(self, now, node, event, **fields):
+        if event != "peer" or fields["state"] != "dead" or fields["peer"] not in self.deaths:
+            return
+        when, told = self.deaths[fields["peer"]]
+        if not told:
+            self.found["first"].append(round(now - when))
+        told.setdefault(node, now)
+        here = [name for name in self.running if name not in self.paused and name != fields["peer"]
+                and name not in self.deaths]
+        if all(name in told for name in here):
+            self.found["all"].append(round(now - when))
+            del self.deaths[fields["peer"]]
+
+
+def timing(events):
+    judge, shares = Timing(), Shares([], {}, 0.0)
+    for event in events:
+        judge.see(*event)
+        shares.see(*event)
+    return {**judge.found, "largest_sum": round(shares.largest, 4)}
--- a/wheathill/lab/scripts/run.py
+++ b/wheathill/lab/scripts/run.py
@@ -24,6 +24,9 @@
             "counts": counts(record),
             "handshake_ms": record.handshakes.figures(), "message_ms": record.messages.figures(),
             "breaches": [breach.told() for breach in found], "fingerprint": record.fingerprint()}
+        if scene.script.proxies.peers:
+            from wheathill.lab.judging.fleet import timing
+            self.figures["fleet"] = {**timing(record.events), **scene.world.spent}
 
     def save(self, path):
         with open(path, "wb") as out:
--- a/wheathill/lab/tools/experiments.py
+++ b/wheathill/lab/tools/experiments.py
@@ -75,6 +75,9 @@
         found = figures[f"{what}_ms"]
         print(f"{what}: " + ", ".join(f"{name} {show(found[name])}" for name in ("p50", "p90", "p99", "p100"))
               + f" ms of {found['count']}")
+    for name, found in figures.get("fleet", {}).items():
+        if found != []:
+            print(f"{name}: " + (" ".join(map(str, found)) if isinstance(found, list) else str(found)))
     for breach in result.breaches:
         print(f"BREACH {breach}")
         for line in breach.told()["last"]:
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -115,6 +115,12 @@
         except (OSError, AttributeError):
             return 0.0
 
+    def cpu_s(self):
+        """Processor time, user and system."""
+        with open(f"/proc/{self.process.pid}/stat") as stat:
+            fields = stat.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def pause(self):
         super().pause()
         self.paused = self.running
@@ -206,6 +212,7 @@
         self.memory = {}
         self.starved_core = min(os.sched_getaffinity(0))
         self.peers = {}         # name -> (private, public)
+        self.spent = {}         # what each instance took, at the end
 
     # Addresses
 
@@ -297,6 +304,13 @@
     def run(self, seconds):
         self.watch()
         super().run(seconds)
+        # Of those that have run from the start.
+        lasting = [seat for seat in self.seats.values() if seat.running and seat.starts == 1]
+        sent = sum(count for (name, _), count in self.relay.sent.items()
+                   if any(seat.name == name for seat in lasting))
+        if lasting:
+            self.spent = {"cpu_share": round(sum(seat.cpu_s() for seat in lasting) / len(lasting) / seconds, 4),
+                          "datagrams_s": round(sent / len(lasting) / seconds, 2)}
 
     def close(self):
         for seat in self.seats.values():
