Server starts are told to all, rights to dial a cold server are whole; time to full service in every run

Change: `Starts` (the latest that anyone was told counts), told like drains; `Facts.right`: where the whole is less than one dial a proxy, only as many as there are whole dials hold a right, of one a window, by rendezvous among all that were agreed on once: both sides of a split name the same, a death passes on one. Each tells what a warm server bears of its connections, which adds up to the whole. Off without [peers]. `full_service`: a line in each run for each group of faults, by listener too.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -58,7 +58,7 @@
     for place, name in enumerate(names):
         facts.member(now, name, place + 10, "alive", False)
     for place, name in enumerate(names):
-        facts.told(name, place + 10, facts.digest(), True)
+        facts.told(name, place + 10, facts.digest(), True, 4.0)
     return facts.look(now, 0)
 
 
@@ -114,7 +114,7 @@
             for name, facts in views.items():
                 for other in told:
                     if other != name:
-                        facts.told(other, here.index(other) + 1, views[other].digest(), other in side)
+                        facts.told(other, here.index(other) + 1, views[other].digest(), other in side, 1.0)
                 facts.state = DOUBT
             total += sum(facts.share(0.0) for facts in views.values())
         assert total <= 1.0 + 1e-9, seed
@@ -153,3 +153,41 @@
     cut = said(*[("x", f"g{place}", BAD) for place in range(4)], *[("y", f"g{place}", WELL) for place in range(4)],
                *[("z", f"g{place}", WELL) for place in range(4)], ("x", "h", BAD), ("y", "h", BAD))
     assert cut.verdicts(100.0, {}) == ([], [])
+
+
+def test_rights_to_dial_a_cold_server_are_whole_and_the_same_everywhere():
+    names, views = [f"n{place}" for place in range(7)], []
+    for name in names:
+        facts = Facts(0.0, name, names.index(name) + 10, 7, (), aged=0.0)
+        for place, other in enumerate(names):
+            if other != name:
+                facts.member(0.0, other, place + 10, "alive", False)
+        facts.old = True
+        views.append(facts)
+    for facts in views:
+        for other in views:
+            if other is not facts:
+                facts.told(other.name, other.birth, other.digest(), True, 2.0)
+    for facts in views:
+        facts.look(0.0, 0)
+    for server in ("g1", "g2", "g3"):
+        rights = [facts.right(server, 2.0, 0.25) for facts in views]        # 14 borne: 3.5 dials a window
+        assert sorted(rights) == [0.0] * 4 + [1.0] * 3
+        # Cut in two, each side names the same.
+        for facts in views[:3]:
+            for other in names[3:]:
+                facts.member(1.0, other, names.index(other) + 10, "dead", False)
+        assert [facts.right(server, 2.0, 0.25) for facts in views] == rights
+        # A certain death passes on one right at the most.
+        gone = names[rights.index(1.0)]
+        for facts in views:
+            if facts.name != gone:
+                facts.member(2.0, gone, names.index(gone) + 10, "dead", True)
+        after = [facts.right(server, 2.0, 0.25) for facts in views if facts.name != gone]
+        assert sum(after) == 3.0 and sum(a > b for a, b in zip(after, [right for name, right in zip(names, rights)
+                                                                       if name != gone])) == 1
+        for facts in views:
+            if facts.name != gone:
+                facts.member(3.0, gone, names.index(gone) + 10, "alive", False)
+                facts.there[gone].old = True
+    assert views[0].right("g1", 2.0, 1.0) == 2.0        # enough for all: its own part
--- a/wheathill/lab/scripts/faults.py
+++ b/wheathill/lab/scripts/faults.py
@@ -213,8 +213,8 @@
 
     def say(self):
         lies = [["dead", name, "127.0.0.1:9", 1 << 40, 1, "stranger"] for name in self.members]
-        words = ([["", True, ["ping", 1, "stranger", lies]], ["", True, ["state", lies]], ["hello"], ["", True],
-                  ["", True, ["seen", [["g1", 0, 0.0]]]], ["", True, ["drains", [["g1", 1, True, 1e15]]]]])
+        words = [["", True, 1.0, ["ping", 1, "stranger", lies]], ["", True, 1.0, ["state", lies]], ["hello"], ["", True],
+                 ["", True, 1.0, ["seen", [["g1", 0, 0.0]]]], ["", True, 1e300, ["starts", [["g1", 1e18]]]]]
         frame = self.seal.close(self.birth, words[self.sent % len(words)]) if self.sent % 7 else self.randbytes(60)
         end = next(end for name, end in self.world.relay.ends.items() if name != self.on)
         end.put(frame, self.world.peers[self.on][0])
--- a/wheathill/lab/scripts/run.py
+++ b/wheathill/lab/scripts/run.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from wheathill.lab.judging.service import full_service
 from wheathill.lab.scripts.scene import Scene, counts, stand_in_limits
 from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.proxy import Proxy
@@ -23,6 +24,7 @@
             "policy": scene.policy, "seconds": scene.script.seconds, "took_s": round(took, 3),
             "counts": counts(record),
             "handshake_ms": record.handshakes.figures(), "message_ms": record.messages.figures(),
+            "full_service": full_service(record.events, scene.clock.now()),
             "breaches": [breach.told() for breach in found], "fingerprint": record.fingerprint()}
         if scene.script.proxies.peers:
             from wheathill.lab.judging.fleet import timing
--- a/wheathill/lab/tools/experiments.py
+++ b/wheathill/lab/tools/experiments.py
@@ -60,6 +60,10 @@
     return program(mutant)
 
 
+def back(ms):
+    return "not seen" if ms is None else f"after {ms / 1000:.2f} s"
+
+
 def run(path, seed, world, policy, json_path, log_path, report, mutant=None):
     check_policy(policy, world)
     program = program_of(mutant, world)
@@ -75,6 +79,10 @@
         found = figures[f"{what}_ms"]
         print(f"{what}: " + ", ".join(f"{name} {show(found[name])}" for name in ("p50", "p90", "p99", "p100"))
               + f" ms of {found['count']}")
+    for found in figures["full_service"]:
+        print(f"faults {found['from_ms'] / 1000:.1f} to {found['over_ms'] / 1000:.1f} s, {found['share']:.0%} set up before: "
+              + ", ".join(f"{name} {back(ms)}" for name, ms in (("full service", found["back_ms"]),
+                                                               *found["listeners"].items())))
     for name, found in figures.get("fleet", {}).items():
         if found != []:
             print(f"{name}: " + (" ".join(map(str, found)) if isinstance(found, list) else str(found)))
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -19,13 +19,12 @@
 
 from wheathill.config import operator
 from wheathill.lab.worlds.relay import Relay
-from wheathill.lab.worlds.sockets import SPARE_FILES, SocketSeat, SocketWorld
+from wheathill.lab.worlds.sockets import LOOPBACK, SPARE_FILES, SocketSeat, SocketWorld
 from wheathill.net.machine import Machine
 
 LIBC = ctypes.CDLL(None)
 PR_SET_PDEATHSIG = 1
 VIEW_MS = 250.0         # how often each instance is asked what it believes
-PUBLIC = "127.0.0.1"
 
 
 def dies_with_the_lab(sockets=None, memory_mb=None):
@@ -219,9 +218,8 @@
     def peers_of(self, name, names):
         """(private, public) of an instance, as (host, port) each. Private hosts differ by lab and instance."""
         if name not in self.peers:
-            low, high = os.getpid() % 250, os.getpid() // 250 % 250 + 2
-            private = f"127.{high}.{low}.{names.index(name) + 1}", 20_000
-            self.peers[name] = private, (PUBLIC, self.free_port())
+            private = f"{LOOPBACK.rpartition('.')[0]}.{names.index(name) + 1}", 20_000
+            self.peers[name] = private, (LOOPBACK, self.free_port())
             self.relay.end(name, *self.peers[name])
         return self.peers[name]
 
--- a/wheathill/lab/worlds/relay.py
+++ b/wheathill/lab/worlds/relay.py
@@ -159,7 +159,7 @@
             self.decode = msgspec.msgpack.Decoder(list).decode
         try:
             words = self.decode(data[28:])[5]
-            return words[0] if isinstance(words[0], str) and len(words) == 1 else words[2][0]
+            return words[0] if len(words) == 1 else words[-1][0]
         except (ValueError, TypeError, IndexError):
             return "?"
 
--- a/wheathill/lab/worlds/sockets.py
+++ b/wheathill/lab/worlds/sockets.py
@@ -24,6 +24,8 @@
 from wheathill.net.driver import Carrier
 
 FIRST_PORT, LAST_PORT = 20_000, 32_000      # below those that systems give to outgoing connections
+# Of this lab alone: a stand-in that is down for a moment leaves its port, which another lab might take.
+LOOPBACK = "127.%d.%d.254" % (os.getpid() // 250 % 250 + 2, os.getpid() % 250)
 SPARE_FILES = 16        # a proxy's own, beside its sockets: the interpreter's and the loop's
 
 
@@ -200,7 +202,7 @@
         self.doors = []
         self.jams = []
         # One address a proxy that dials it, or a single one.
-        self.addresses = {peer: ("127.0.0.1", world.free_port()) for peer in peers or (None,)}
+        self.addresses = {peer: (LOOPBACK, world.free_port()) for peer in peers or (None,)}
 
     @property
     def where(self):
@@ -376,7 +378,7 @@
         while True:
             self.next_port += 1
             try:
-                with socket.create_server(("127.0.0.1", self.next_port)):
+                with socket.create_server((LOOPBACK, self.next_port)):
                     return self.next_port
             except OSError:
                 if self.next_port >= LAST_PORT:
@@ -396,7 +398,7 @@
 
     def proxy_address(self, name):
         port = self.ports.setdefault(name, self.free_port())
-        return f"127.0.0.1:{port}"
+        return f"{LOOPBACK}:{port}"
 
     def proxy(self, name, zone, values, log):
         seat = self.seats[name] = SocketSeat(self, name, zone, values, log)
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -132,11 +132,12 @@
                 if self.peers:
                     self.peers.forget_server(name)
 
-    def told_by_peers(self, server, phase):
-        """Others were told of a drain, or that it is over, which this proxy's list doesn't say."""
-        if server.listed is not phase:
+    def told_by_peers(self, server, phase, born):
+        """Others were told of a drain, that it is over, or of a new start, which this proxy's list doesn't say."""
+        started = self.clock.from_wall(born) if born else None
+        if server.listed is not phase or (server.started or 0.0) < (started or 0.0):
             self.log_event("told by a peer", server=server.name, phase=phase.value)
-            self.balancer.on_list(self.now(), ListKind.BY_HAND, [(server, phase, server.weight, server.started)])
+            self.balancer.on_list(self.now(), ListKind.BY_HAND, [(server, phase, server.weight, started)])
 
     def entry(self, host):
         name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
@@ -153,7 +154,7 @@
         if host.get("site") is not None:
             server.zone, server.cell = self.zones.get(host["site"], -1), cell
         if self.peers:
-            phase = self.peers.on_entry(name, phase, born)
+            phase, born = self.peers.on_entry(name, phase, born)
         self.servers[name] = server
         self.names.pop(name, None)
         self.names[name] = None
--- a/wheathill/peers/drains.py
+++ b/wheathill/peers/drains.py
@@ -1,4 +1,4 @@
-"""Servers that drain, told to one and so told to all. Free of I/O.
+"""Servers that drain or have started anew, told to one and so told to all. Free of I/O.
 
 Whoever is told by its own list that a server drains says so to the others, with the start of the server's process
 that it concerns, and counts what it has said of it. A server drains here while any of them says so. Nothing brings
@@ -60,3 +60,28 @@
         """Whether any says that it drains, of the process that started then (wall clock, ms; 0.0: not told)."""
         return any(draining and (started or 0.0) <= since
                    for _, draining, since, _ in self.others.get(server, {}).values())
+
+
+class Starts:
+    """When each server's process started, by the wall clock of whoever keeps the list: the latest that anyone was told
+    counts, so that a word that comes late or again changes nothing."""
+
+    MOST = 4096
+    AHEAD = 60_000.0    # ms; what lies further in the future is no start
+
+    def __init__(self):
+        self.latest = {}    # server -> ms, Unix
+
+    def hear(self, wall, said):
+        """Returns the servers of which it is news."""
+        news = []
+        for server, started in said:
+            if self.latest.get(server, 0.0) < started <= wall + self.AHEAD:
+                self.latest[server] = float(started)
+                news.append(server)
+        while len(self.latest) > self.MOST:
+            del self.latest[next(iter(self.latest))]
+        return news
+
+    def of(self, server, started):
+        return max(started or 0.0, self.latest.get(server, 0.0))
--- a/wheathill/peers/facts.py
+++ b/wheathill/peers/facts.py
@@ -22,13 +22,14 @@
 class Known:
     """One process that may be at work."""
 
-    __slots__ = ("birth", "state", "digest", "old")
+    __slots__ = ("birth", "state", "digest", "old", "bears")
 
     def __init__(self, birth, state):
         self.birth, self.state = birth, state
         self.digest = None      # of its own view of who may be at work, as last told
         # Whether all agreed on it once. Who is only known by hearsay is taken for one that was there before.
         self.old = True
+        self.bears = None       # what a warm server bears of its connections, as it finds
 
 
 class Facts:
@@ -68,11 +69,11 @@
         while len(self.names) > self.MOST_NAMES:
             self.names.pop(next(other for other in self.names if other != self.name))
 
-    def told(self, name, birth, digest, old):
+    def told(self, name, birth, digest, old, bears):
         """What a member says of its own view."""
         known = self.there.get(name)
         if known is not None and known.birth == birth:
-            known.digest, known.old = digest, old
+            known.digest, known.old, known.bears = digest, old, bears
 
     # What follows
 
@@ -127,3 +128,21 @@
             return whole
         mine = self.digest()
         return whole * sum(known.state != DEAD and known.digest == mine for known in before) / len(before)
+
+    def right(self, server, bears, unit):
+        """Dials in a window that this proxy may send a cold server, which by all together may get `unit` for each
+        connection that it bears; of those this proxy finds `bears` to be its own.
+
+        Where that is less than one for each proxy, parts of a dial would add up by chance to more. So only as many
+        as there are whole dials hold a right, of one dial a window: the first by rendezvous (highest random weight:
+        Thaler and Ravishankar 1998) among all that were agreed on once, those out of reach included. Both sides of
+        a split thus name the same, and a death passes on one right alone."""
+        before = [name for name in sorted(self.there) if self.there[name].old]
+        whole = unit * (bears + sum(bears if known.bears is None else known.bears for known in self.there.values()))
+        if self.state == ALONE or not before and not self.old or whole >= 1 + len(before):
+            return unit * bears
+        if not self.old:
+            return 0.0
+        ranked = sorted([self.name, *before], key=lambda name: hashlib.blake2b(
+            f"{server} {name}".encode(), digest_size=8).digest())
+        return 1.0 if self.name in ranked[:max(1, int(whole))] else 0.0
--- a/wheathill/peers/instance.py
+++ b/wheathill/peers/instance.py
@@ -8,7 +8,7 @@
 import random
 
 from wheathill.peers.control import Control
-from wheathill.peers.drains import Drains
+from wheathill.peers.drains import Drains, Starts
 from wheathill.peers.facts import ALONE, CUT_OFF, Facts
 from wheathill.peers.frames import Seal
 from wheathill.peers.links import Links
@@ -16,7 +16,7 @@
 from wheathill.peers.witness import BAD, WELL, Witnesses
 from wheathill.model import Phase
 
-DRAINS, SEEN, ASK_VIEW, VIEW, NOTE = "drains", "seen", "view?", "view", "note"
+DRAINS, STARTS, SEEN, ASK_VIEW, VIEW, NOTE = "drains", "starts", "seen", "view?", "view", "note"
 
 
 class Peers:
@@ -41,7 +41,7 @@
             kept=60 * told.period, sync_every=10 * told.period)
         self.facts = Facts(now, told.name, birth, meant, told.roster, self.AGED)
         self.witnesses = Witnesses(self.FRESH)
-        self.drains = Drains()
+        self.drains, self.starts = Drains(), Starts()
         self.own = {}           # server name -> (phase, start) as the own list has it
         self.telling = []       # whom to tell next
         self.noted = None       # the digest that all were last told
@@ -58,6 +58,7 @@
     def start(self):
         now = self.clock.now()
         self.log_event("peers", at=self.told.advertise, cluster=self.told.cluster, seeds=len(self.told.seeds))
+        self.proxy.balancer.cold.rights = lambda server, unit: self.facts.right(server, self.bears(), unit)
         self.membership.start(now, self.told.seeds)
         self.tick()
 
@@ -74,7 +75,10 @@
         self.say(address, words, bulk=words[0] == STATE)
 
     def say(self, address, words, bulk=False):
-        self.links.send(address, [self.facts.digest(), self.facts.old, words], bulk)
+        self.links.send(address, [self.facts.digest(), self.facts.old, round(self.bears(), 2), words], bulk)
+
+    def bears(self):
+        return self.proxy.balancer.levels.bearable
 
     def knock(self, name, birth, address, wait, why):
         self.links.knock(address, wait, lambda how: self.membership.on_knock(
@@ -94,8 +98,8 @@
         by = list(member.accusers) if member.state == SUSPECT else None
         self.log_event("peer", peer=member.name, state=member.state, was=old, address=member.address, by=by,
                        surely=member.certain if member.state == DEAD else None)
-        if old is None and member.state == ALIVE and self.drains.mine:
-            self.say(member.address, [DRAINS, self.drains.told()])
+        if old is None and member.state == ALIVE:
+            self.tell_news(member.address)
         self.look(now)
 
     def log(self, text):
@@ -106,14 +110,16 @@
     def heard(self, name, birth, address, words):
         now = self.clock.now()
         try:
-            digest, old, (kind, *rest) = words
+            digest, old, bears, (kind, *rest) = words
             if address is not None:
                 self.membership.contact(now, name, birth, address)
-            self.facts.told(name, birth, digest, bool(old))
+            self.facts.told(name, birth, digest, bool(old), min(1e6, max(0.0, float(bears))))
             if kind == NOTE:
                 pass
             elif kind == DRAINS:
                 self.apply(self.drains.hear(name, birth, rest[0]))
+            elif kind == STARTS:
+                self.apply(self.starts.hear(self.clock.to_wall(now), rest[0]))
             elif kind == SEEN:
                 if self.listens(name):
                     self.witnesses.tell(now, name, rest[0])
@@ -142,7 +148,7 @@
         if not self.telling:
             self.telling = list(reached)
             self.shuffle(self.telling)
-        self.note(reached)
+        self.note()
         now_told, self.telling = self.telling[:self.TELLS], self.telling[self.TELLS:]
         own = self.sight(now)
         if self.facts.state not in (CUT_OFF, ALONE):
@@ -151,19 +157,23 @@
             words = [SEEN, [[name, how, round(now - when, 1)] for name, (how, when) in seen]]
             for member in now_told if seen else ():
                 self.say(member.address, words)
-        if self.drains.mine and now_told:
+        if now_told:
             # What was told at once may have been lost.
-            self.say(now_told[0].address, [DRAINS, self.drains.told()])
+            self.tell_news(now_told[0].address)
         self.judge_servers(now, own)
 
-    def note(self, reached):
+    def note(self):
         """Every message tells the digest of this view; one that has changed is told at once, so that all know soon
         that they agree."""
         noted = self.facts.digest(), self.facts.old
         if noted != self.noted:
             self.noted = noted
-            for member in reached[:self.NOTED]:
-                self.say(member.address, [NOTE])
+            self.tell_all([NOTE])
+
+    def tell_all(self, words):
+        for member in self.membership.alive()[:self.NOTED]:
+            if member is not self.membership.me:
+                self.say(member.address, words)
 
     def look(self, now):
         before, since = self.facts.state, self.facts.since
@@ -202,21 +212,29 @@
             self.proxy.balancer.on_witnesses(now, [servers[name] for name in failing if name in servers],
                                              [servers[name] for name in here if name in servers])
 
-    # Drains
+    # Drains and starts
+
+    def tell_news(self, address):
+        """What one was told and the others may not have been."""
+        if self.drains.mine:
+            self.say(address, [DRAINS, self.drains.told()])
+        if self.starts.latest:
+            self.say(address, [STARTS, list(self.starts.latest.items())])
 
     def on_entry(self, name, phase, started):
-        """What holds for an entry of the own list: its phase, or that it drains as others say."""
+        """What holds for an entry of the own list: its phase and start, or what others were told of it since."""
         self.own[name] = phase, started
+        if phase is not Phase.GONE and started and self.starts.hear(started, [[name, started]]):
+            self.tell_all([STARTS, [[name, started]]])
         if phase is not Phase.GONE:
             said = self.drains.list_says(name, phase is Phase.DRAINING, started)
             if said is not None and (said[2] or said[1] > 1):
-                for member in self.membership.alive():
-                    if member is not self.membership.me:
-                        self.say(member.address, [DRAINS, [said]])
-        return self.holds(name, phase, started)
+                self.tell_all([DRAINS, [said]])
+        return self.holds(name, phase, started), self.starts.of(name, started)
 
     def holds(self, name, phase, started):
-        return Phase.DRAINING if phase is Phase.READY and self.drains.drains(name, started) else phase
+        drains = phase is Phase.READY and self.drains.drains(name, self.starts.of(name, started))
+        return Phase.DRAINING if drains else phase
 
     def forget_server(self, name):
         self.own.pop(name, None)
@@ -226,7 +244,8 @@
         for name in names:
             server = self.proxy.servers.get(name)
             if server is not None and name in self.own:
-                self.proxy.told_by_peers(server, self.holds(name, *self.own[name]))
+                self.proxy.told_by_peers(server, self.holds(name, *self.own[name]),
+                                         self.starts.of(name, self.own[name][1]))
 
     # Operators
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -528,6 +528,10 @@
         self.uniform, self.start_share, self.cold_for = uniform, start_share, cold_for
         self.multiple, self.window, self.levels = multiple, window, levels
 
+        # Where proxies know each other: (server, dials in a window for each connection that it bears when warm) ->
+        # dials in a window for this one. Parts of less than one dial each add up to more by chance.
+        self.rights = None
+
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
@@ -543,7 +547,10 @@
         ready = self.start_share + (1 - self.start_share) * age / self.cold_for
         # A server fills over its warm-up at the fastest; a quarter of the budget is left for repeats,
         # probes and handshakes, and for what other proxies send when they know less.
-        rate = 0.75 * self.levels.bearable / self.cold_for * ready * self.multiple
+        unit = 0.75 / self.cold_for * ready * self.multiple
+        rate = unit * self.levels.bearable
+        if self.rights is not None:
+            rate = self.rights(server.name, unit * self.window) / self.window
         most = max(1.0, rate * self.window / 4)
         server.credit = min(most, server.credit + rate * (now - server.credited))
         server.credited = now
