--- a/wheathill/lab/judging/judges.py
+++ b/wheathill/lab/judging/judges.py
@@ -282,6 +282,7 @@
         self.born = {}          # server -> (when, holds, share at the start, warm-up)
         self.dials = {}
         self.quiet = {}
+        self.largest = 0.0      # multiple of what a server bears, of dials that reached it in a window
         self.knows = {}         # (proxy, server) of the present start -> None
         self.of = {}            # session -> proxy
         self.blind = {}         # server -> when it was last dialled by a proxy that wasn't told
@@ -320,6 +321,7 @@
         while dials[0] <= now - self.window:
             dials.popleft()
         bears = holds * (warm_from + (1 - warm_from) * age / warm) / warm * self.window
+        self.largest = max(self.largest, len(dials) / bears)
         allowed = self.multiple * bears + self.proxies
         if len(dials) > allowed and now >= self.quiet.get(server, 0.0):
             self.quiet[server] = now + self.window      # once for each time it is flooded
--- a/wheathill/lab/judging/mutated.py
+++ b/wheathill/lab/judging/mutated.py
@@ -10,6 +10,7 @@
 from wheathill.peers.instance import Peers
 from wheathill.peers.links import Knock
 from wheathill.peers.membership import DEAD, Membership
+from wheathill.policy import Balancer
 
 
 def counts_only_the_alive():
@@ -74,12 +75,21 @@
     own_list_undoes_drains)}
 
 
+def goes_by_the_file():
+    """No mutant, but for comparison: the file's number decides, whoever is there."""
+    Balancer.on_fleet = lambda self, now, share: None
+    Facts.right = lambda self, server, bears, unit: unit * bears
+
+
+VARIANTS = {**MUTANTS, "goes-by-the-file": goes_by_the_file}
+
+
 def program(name):
     """The words that start it, after the interpreter's."""
     return "-m", "wheathill.lab.judging.mutated", name
 
 
 if __name__ == "__main__":
-    MUTANTS[sys.argv.pop(1)]()
+    VARIANTS[sys.argv.pop(1)]()
     from wheathill.cli import main
     main()
--- a/wheathill/lab/scripts/run.py
+++ b/wheathill/lab/scripts/run.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from wheathill.lab.judging.judges import ColdServers
 from wheathill.lab.judging.service import full_service
 from wheathill.lab.scripts.scene import Scene, counts, stand_in_limits
 from wheathill.lab.worlds.virtual import VirtualWorld
@@ -28,7 +29,12 @@
             "breaches": [breach.told() for breach in found], "fingerprint": record.fingerprint()}
         if scene.script.proxies.peers:
             from wheathill.lab.judging.fleet import timing
-            self.figures["fleet"] = {**timing(record.events), **scene.world.spent}
+            cold = ColdServers([], {}, 0.0, **scene.cold_rule())
+            for event in record.events:
+                cold.see(*event)
+            self.figures["fleet"] = {**timing(record.events), "largest_multiple": round(cold.largest, 2)}
+        if scene.world.name == "processes":
+            self.figures["spent"] = scene.world.spent
 
     def save(self, path):
         with open(path, "wb") as out:
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -18,7 +18,7 @@
 from wheathill.lab.judging.judges import judge
 from wheathill.lab.scripts.faults import PeerFaults
 from wheathill.lab.scripts.language import (
-    ASKED, BETWEEN, HOLDS, PROVEN, SAID, SAYS, SENT, gateway_names, proxy_names)
+    ASKED, BETWEEN, HOLDS, PROVEN, SAID, SAYS, gateway_names, proxy_names)
 from wheathill.lab.scripts.record import Record
 from wheathill.lab.worlds.tap import Cut
 
@@ -185,11 +185,15 @@
         budget = (rules.further_dials_free, rules.further_dials_share, rules.further_dials_s * 1000)
         budget = budget if rules.further_dials_s else None
         return judge(self.record.events, self.clock.now(), slack=self.world.slack(script), repeats=repeats,
-                     grace=script.rules.drain_grace_ms, multiple=script.rules.cold_multiple,
-                     window=script.rules.cold_window_ms, proxies=script.proxies.count, budget=budget,
+                     grace=script.rules.drain_grace_ms, **self.cold_rule(), budget=budget,
                      gone_binds=not rules.only_draining_binds,
                      more=self.fleet_judges() if script.proxies.peers else ())
 
+    def cold_rule(self):
+        rules = self.script.rules
+        return {"multiple": rules.cold_multiple, "window": rules.cold_window_ms,
+                "proxies": self.script.proxies.count}
+
     def fleet_judges(self):
         limits = self.script.fleet
         views = partial(Views, agree=limits.agree_ms, false=limits.false_ms, known=limits.known_ms)
--- a/wheathill/lab/tools/experiments.py
+++ b/wheathill/lab/tools/experiments.py
@@ -54,9 +54,9 @@
 def program_of(mutant, world):
     if mutant is None:
         return None
-    from wheathill.lab.judging.mutated import MUTANTS, program
-    if world != "processes" or mutant not in MUTANTS:
-        raise Misconfigured(f"--mutant: {mutant!r} is none of {', '.join(MUTANTS)}, in --world processes")
+    from wheathill.lab.judging.mutated import VARIANTS, program
+    if world != "processes" or mutant not in VARIANTS:
+        raise Misconfigured(f"--mutant: {mutant!r} is none of {', '.join(VARIANTS)}, in --world processes")
     return program(mutant)
 
 
@@ -83,7 +83,7 @@
         print(f"faults {found['from_ms'] / 1000:.1f} to {found['over_ms'] / 1000:.1f} s, {found['share']:.0%} set up before: "
               + ", ".join(f"{name} {back(ms)}" for name, ms in (("full service", found["back_ms"]),
                                                                *found["listeners"].items())))
-    for name, found in figures.get("fleet", {}).items():
+    for name, found in {**figures.get("fleet", {}), **figures.get("spent", {})}.items():
         if found != []:
             print(f"{name}: " + (" ".join(map(str, found)) if isinstance(found, list) else str(found)))
     for breach in result.breaches:
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -308,6 +308,7 @@
                    if any(seat.name == name for seat in lasting))
         if lasting:
             self.spent = {"cpu_share": round(sum(seat.cpu_s() for seat in lasting) / len(lasting) / seconds, 4),
+                          "memory_mb": round(max(seat.memory_mb() for seat in lasting), 1),
                           "datagrams_s": round(sent / len(lasting) / seconds, 2)}
 
     def close(self):
--- a/wheathill/lab/worlds/relay.py
+++ b/wheathill/lab/worlds/relay.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import ctypes
-import random
 import socket
 import struct
 from collections import Counter
