Only cold servers are kept from findings of a start's rush; the expected load is worked out as before

At fault: `learn` fed two uses by one figure. Change: the expected load takes each finding, cold servers those since sessions came slowly for the first time; what another process hands over counts at once.

--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -126,6 +126,8 @@
         yield balancer.roster.back.update, back
         yield table.stand, list(ready), slots, opened, known
         yield setattr, balancer.levels, "bearable", figures["bearable"]
+        # What comes over comes fast, and was reported long ago.
+        yield setattr, balancer.levels, "held", figures["bearable"]
         yield setattr, balancer.probes, "earned", earned
         yield setattr, balancer.first, "window", figures["window"]
         for name, when in times.items():
--- a/wheathill/peers/instance.py
+++ b/wheathill/peers/instance.py
@@ -78,7 +78,7 @@
         self.links.send(address, [self.facts.digest(), self.facts.old, round(self.bears(), 2), words], bulk)
 
     def bears(self):
-        return self.proxy.balancer.levels.bearable
+        return self.proxy.balancer.levels.borne
 
     def knock(self, name, birth, address, wait, why):
         self.links.knock(address, wait, lambda how: self.membership.on_knock(
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -221,7 +221,8 @@
         # Until some connections are held: this proxy's part of a few dozen in all.
         self.bearable = 40.0 * self.share
         self.found = deque(maxlen=5)    # the last of what it was found to be
-        self.held = 0                   # on warm servers, a tick ago
+        self.firm = deque(maxlen=5)     # the same, since sessions came slowly for the first time
+        self.held = 0.0                 # on a warm server, a tick ago
         # A proxy that has just started holds nothing on servers that others have loaded: without a floor it
         # took each of its connections for a whole server and refused nearly all.
         self.floor = floor
@@ -250,19 +251,26 @@
         holds less than one a server: only those on all together, over their mean load, tell it."""
         fresh = [server for server in warm if self.of_capacity and self.age(now, server) < self.together]
         loads = [load / min(1.0, server.doubt) for server, load in self.figures(now, fresh).items()]
-        # Loads are told later than sessions come: while they come fast, as after a start, more stands there than
-        # was reported. The first finding was six times the truth, and pushed all cold servers over.
-        before, self.held = self.held, sum(len(server.sessions) for server in warm)
-        if loads and 0 < self.held <= 1.5 * before:
-            # Not the last alone: cold servers are filled by it, and one odd report pushed them over.
-            self.found.append(self.held / len(warm) / max(0.05, fmean(loads)))
+        held = sum(len(server.sessions) for server in warm) / max(1, len(warm))
+        if held and loads:
+            # Not the last alone: one odd report would count for all.
+            self.found.append(held / max(0.05, fmean(loads)))
             self.bearable = median(self.found)
+            # Loads are told later than sessions come: after a start, while they come fast, more stands there
+            # than was reported. A first finding of six times the truth pushed all cold servers over.
+            if self.firm or held <= 1.5 * self.held:
+                self.firm.append(self.found[-1])
+        self.held = held
+
+    @property
+    def borne(self):
+        """The same, as far as cold servers may be filled by it."""
+        return median(self.firm) if self.firm else min(self.bearable, 40.0 * self.share)
 
     def take_share(self, share):
-        """What is found by own connections follows a larger share by itself, but a smaller one too late:
-        others are there that hold nothing yet, and would send as much again."""
+        """What is found follows a larger share by itself, but a smaller one too late."""
         less = min(1.0, share / self.share) if self.share else 1.0
-        self.found = deque((found * less for found in self.found), maxlen=self.found.maxlen)
+        self.found, self.firm = (deque((each * less for each in kept), 5) for kept in (self.found, self.firm))
         self.bearable = self.bearable * less if self.found else 40.0 * share
         self.share = share
 
@@ -528,8 +536,8 @@
         self.uniform, self.start_share, self.cold_for = uniform, start_share, cold_for
         self.multiple, self.window, self.levels = multiple, window, levels
 
-        # Where proxies know each other: (server, dials in a window for each connection that it bears when warm) ->
-        # dials in a window for this one. Parts of less than one dial each add up to more by chance.
+        # Where proxies know each other: (server, dials in a window for each connection that it bears) ->
+        # this one's dials in a window. Parts of less than one dial each add up to more by chance.
         self.rights = None
 
     def cold(self, now, server):
@@ -545,12 +553,10 @@
             return True
         age = max(0.0, (now + server.credited) / 2 - server.started)
         ready = self.start_share + (1 - self.start_share) * age / self.cold_for
-        # A server fills over its warm-up at the fastest; a quarter of the budget is left for repeats,
-        # probes and handshakes, and for what other proxies send when they know less.
+        # A server fills over its warm-up at the fastest; a quarter is left for repeats, probes, handshakes.
         unit = 0.75 / self.cold_for * ready * self.multiple
-        rate = unit * self.levels.bearable
-        if self.rights is not None:
-            rate = self.rights(server.name, unit * self.window) / self.window
+        rate = (unit * self.levels.borne if self.rights is None
+                else self.rights(server.name, unit * self.window) / self.window)
         most = max(1.0, rate * self.window / 4)
         server.credit = min(most, server.credit + rate * (now - server.credited))
         server.credited = now
