--- a/wheathill/lab/scripts/faults.py
+++ b/wheathill/lab/scripts/faults.py
@@ -33,9 +33,7 @@
         process = self.seats[on].process
         return lambda: int(process is None or process.poll() is not None)
 
-    def proof_proxy_roll(self, event, on):
-        process = self.seats[on].process
-        return lambda: int(process is None or process.poll() is not None)
+    proof_proxy_roll = proof_proxy_kill
 
     def proof_proxy_pause(self, event, on):
         seat = self.seats[on]
