--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -72,7 +72,7 @@
 @click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
 @click.option("--policy", default="module", show_default=True,
               help="module, random, least-connections, two-choices or true-sight (virtual only)")
-@click.option("--mutant", help="processes only: instances broken on purpose (lab/judging/mutated)")
+@click.option("--mutant", help="instances broken on purpose (lab/judging/mutated)")
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--log", "log_path", type=click.Path(), help="keep every event there, one JSON line each")
 @click.option("--report", type=click.Path(), help="write a page with plots into this folder")
@@ -88,12 +88,13 @@
 @click.option("--set", "changes", multiple=True, help="KEY=V1,V2: play it with each; may be repeated")
 @click.option("--policies", default="module", show_default=True, help="with commas between")
 @click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
+@click.option("--mutant", help="instances broken on purpose (lab/judging/mutated)")
 @click.option("--jobs", type=int, default=4, show_default=True)
 @click.option("--json", "json_path", type=click.Path(), help="keep all figures there")
-def sweep(script, seeds, changes, policies, world, jobs, json_path):
+def sweep(script, seeds, changes, policies, world, mutant, jobs, json_path):
     """Play SCRIPT over a grid of seeds, keys and policies; print medians and ranges."""
     from wheathill.lab.tools import experiments
-    sys.exit(experiments.sweep(script, seeds, changes, policies.split(","), world, jobs, json_path))
+    sys.exit(experiments.sweep(script, seeds, changes, policies.split(","), world, jobs, json_path, mutant))
 
 
 @lab.command()
--- a/wheathill/lab/worlds/clock.py
+++ b/wheathill/lab/worlds/clock.py
@@ -29,6 +29,9 @@
     def from_wall(self, wall):
         return wall - EPOCH
 
+    def to_wall(self, when):
+        return when + EPOCH
+
     def at(self, when, call, *args):
         return self.put(when, call, args)
 
--- a/wheathill/lab/worlds/host.py
+++ b/wheathill/lab/worlds/host.py
@@ -9,7 +9,7 @@
         self.host = host
         self.clock = clock
         self.now = clock.now
-        self.from_wall = clock.from_wall
+        self.from_wall, self.to_wall = clock.from_wall, clock.to_wall
 
     def at(self, when, call, *args):
         return self.clock.put(when, self.host.gate, (self.host.life, call, *args))
--- a/wheathill/lab/worlds/network.py
+++ b/wheathill/lab/worlds/network.py
@@ -9,6 +9,7 @@
 
 from wheathill.lab.worlds.host import Host
 from wheathill.lab.worlds.tap import Tap
+from wheathill.lab.worlds.ways import Ways
 from wheathill.net.driver import Guarded
 
 
@@ -132,6 +133,45 @@
         self.host.net.transmit(wire, self.host, tuple(address), wire.host.net.syn, wire, tuple(address))
         return wire
 
+    def datagrams(self, machine, address):
+        return VirtualDatagrams(self, machine, tuple(address))
+
+
+class VirtualDatagrams(Guarded):
+    """What the driver's is on sockets: of one process, on its host's only address for datagrams."""
+
+    def __init__(self, carrier, machine, address):
+        self.carrier, self.machine, self.address = carrier, machine, address
+        self.host, self.life = carrier.host, carrier.host.life
+        self.host.net.mail[self.host.name] = self
+        self.host.net.hosts_by_address[address] = self.host
+
+    def send(self, data, address):
+        other = self.host.net.hosts_by_address.get(tuple(address))
+        if other is not None and not self.host.silent:
+            self.host.net.links.pass_on(self.host.name, other.name, bytes(data))
+
+    def close(self):
+        if self.host.net.mail.get(self.host.name) is self:
+            del self.host.net.mail[self.host.name]
+
+
+class Links(Ways):
+    """Between instances: datagrams in memory; streams ask here what befalls them."""
+
+    def __init__(self, net, chance, usual, jitter):
+        super().__init__(net.clock, chance, usual, jitter)
+        self.net = net
+        self.addresses = {}     # name -> where its datagrams come from, also when it is gone
+
+    def arrive(self, one, other, data):
+        end = self.net.mail.get(other)
+        if end is not None and not end.host.silent:
+            end.host.gate(end.life, end.guard, end.machine.received, data, self.addresses[one])
+
+    def changed(self):
+        self.net.heal()
+
 
 class Network:
     """Who can reach whom, and how long it takes. `same`, `cross`: ms one way inside and between zones;
@@ -148,6 +188,8 @@
         self.ways = []          # worse ones: (name or zone, name or zone, ms longer, share lost)
         self.random = chance.random
         self.stalled = []       # what waits for a way: (wire, from, to, call, args)
+        self.links = None       # between instances that know one another
+        self.mail = {}          # host name -> VirtualDatagrams
 
     def delay(self, one, other):
         if one.zone is None or other.zone is None:
@@ -156,6 +198,8 @@
             base = self.same if one.zone == other.zone else self.cross
         if self.ways:
             base += self.longer(one, other)
+        if self.links is not None and (way := self.links.ways.get((one.name, other.name))) is not None:
+            base += way.wait_ms + self.sent_again(way.loss)
         if not self.jitter:
             return self.hop + base
         return self.hop + base * (1.0 + self.jitter * self.expovariate(1.0))
@@ -168,14 +212,42 @@
         ends = (one.name, one.zone), (other.name, other.zone)
         for first, second, wait, lost in self.ways:
             if first in ends[0] and second in ends[1] or second in ends[0] and first in ends[1]:
-                more += wait
-                again = self.RESEND
-                while lost and self.random() < lost and again < 60_000.0:
-                    more, again = more + again, 2 * again
+                more += wait + self.sent_again(lost)
+        return more
+
+    def sent_again(self, lost):
+        more, again = 0.0, self.RESEND
+        while lost and self.random() < lost and again < 60_000.0:
+            more, again = more + again, 2 * again
         return more
 
     def blocked(self, one, other):
-        return one.silent or other.silent or self.cuts and (one.name, other.name) in self.cuts
+        if one.silent or other.silent or self.cuts and (one.name, other.name) in self.cuts:
+            return True
+        way = self.links and self.links.ways.get((one.name, other.name))
+        if way and way.cuts:
+            way.seen["stream held"] += 1
+        return bool(way and way.cuts)
+
+    def befall(self, wire, data):
+        """What of a stream's bytes may be sent; it crawls, is reset or stands half open as its way says."""
+        way = self.links and self.links.ways.get((wire.host.name, wire.peer.host.name))
+        if not way or data is None:
+            return data
+        if way.crawl:
+            way.seen["crawled"] += 1
+            wire.last = max(wire.last, self.clock.time) + len(data) * 1000 / way.crawl
+        if wire.passed < 0:
+            return None         # half open: nothing passes any more
+        if way.then and wire.passed + len(data) >= way.after:
+            data, wire.passed = data[:way.after - wire.passed], -1
+            way.seen["stream " + way.then] += 1
+            if way.then == "reset":
+                wire.reset_peer()
+                wire.was_reset()
+        elif way.then:
+            wire.passed += len(data)
+        return data
 
     def transmit(self, wire, one, to, call, *args):
         """`to` is a host, or the address of one. Each direction of a wire keeps its order."""
@@ -261,6 +333,8 @@
         self.unsent = deque()
         self.on_way = 0             # bytes sent and not read by the peer
         self.last = 0.0             # when the last thing sent arrives
+        self.came = 0.0             # when the last bytes came
+        self.passed = 0             # bytes that a way which cuts streams off has let pass; -1: none any more
         self.waiting = 0            # things sent that found no way yet
 
     def count(self, on):
@@ -300,6 +374,7 @@
     def arrive(self, data):
         if self.gone:
             return self.reset_peer()
+        self.came = self.host.net.clock.time
         self.inbox.append(data)
         if self.machine is not None:
             self.host.gate(self.life, self.read)
@@ -360,6 +435,10 @@
                     self.unsent.appendleft(data[room:])
                     data = data[:room]
                 self.on_way += len(data)
+                if self.host.net.links is not None:
+                    data = self.host.net.befall(self, data)
+                    if not data:
+                        continue
             self.host.net.transmit(self, self.host, self.peer.host, self.peer.arrive, data)
         full = bool(self.unsent)
         if full is not self.full:
@@ -453,7 +532,10 @@
     def open(self):
         return self.up and not self.over and not self.parted
 
-    waited = 0.0        # bytes are read as they come
+    @property
+    def waited(self):
+        """ms since the last bytes came, read or not."""
+        return self.carrier.host.clock.now() - self.came
 
     @property
     def unread(self):
--- /dev/null
+++ b/wheathill/lab/worlds/outside.py
@@ -0,0 +1,30 @@
+"""What is true of instances that know one another, taken from outside: who runs, who stands still, who can reach
+whom. What each believes is asked, to be judged against that."""
+
+VIEW_MS = 250.0         # how often each instance is asked what it believes
+
+
+class Outside:
+    """A part of a world whose `ways` join its instances. A seat has `running`, `paused` and `ask`."""
+
+    def truth(self):
+        """Who runs, who of these stands still, and which pairs of them can't reach each other."""
+        running = [name for name, seat in self.seats.items() if seat.running]
+        return {"running": running, "paused": [name for name in running if self.seats[name].paused],
+                "cut": [f"{one} {other}" for place, one in enumerate(running) for other in running[place + 1:]
+                        if not self.ways.reaches(one, other)]}
+
+    def believes(self, seat, found):
+        self.record.note("believes", proxy=seat.name, state=found["state"], digest=found["digest"],
+                         fleet=found["fleet"], share=found["share"], differs=len(found["differs"]),
+                         members={member["name"]: member["state"] for member in found["members"]})
+
+    def watch(self):
+        self.clock.after(VIEW_MS, self.watch)
+        self.record.note("truth", **self.truth())
+        for seat in self.seats.values():
+            seat.ask()
+
+    def datagrams_s(self, names, seconds):
+        """Sent by each of these, a second."""
+        return round(sum(self.ways.sent[name] for name in names) / max(1, len(names)) / seconds, 2)
--- a/wheathill/lab/worlds/seat.py
+++ b/wheathill/lab/worlds/seat.py
@@ -1,5 +1,9 @@
 """The place of one proxy in the virtual world."""
 
+import random
+from dataclasses import replace
+from functools import partial
+
 from wheathill.config import node_of
 from wheathill.lab.worlds.network import VirtualCarrier, VirtualHost
 from wheathill.net.operators import OperatorsDoor
@@ -16,6 +20,7 @@
         self.proxy = None
         self.starts = 0
         self.calls = False          # operators may call
+        self.told = None            # of its peers, where it knows them
 
     @property
     def admin(self):
@@ -33,20 +38,45 @@
 
     def start(self):
         self.starts += 1
-        node = node_of(self.values)
+        node = replace(node_of(self.values), peers=self.told)
         self.host.begin()
         carrier = VirtualCarrier(self.host, node.limits, self.log)
         self.proxy = self.world.make_proxy(node, carrier, self.host.clock, self.log, self.world.decisions)
+        if self.told:
+            self.join(node, carrier)
         carrier.listen(self.proxy.client, self.where, self.proxy.room)
         self.open_to_operators(carrier)
         self.proxy.start()
 
+    def join(self, node, carrier):
+        """As `daemon.join`, but that the number of its birth comes from the seed."""
+        from wheathill.peers.instance import Peers
+        birth = random.Random(f"{self.world.seed}/{self.name}/birth {self.starts}").getrandbits(48) | 1
+        self.proxy.peers = Peers(self.told, self.proxy, carrier, self.host.clock, self.log, birth,
+                                 node.balancer["proxies"])
+        self.host.clock.soon(self.proxy.peers.start)
+
+    @property
+    def paused(self):
+        return self.host.paused
+
+    def ask(self):
+        """What it believes; one that stands still says nothing."""
+        if self.running and not self.paused and self.proxy.peers:
+            self.world.believes(self, self.proxy.peers.table())
+
     def kill(self):
         self.host.kill()
         self.proxy = None
 
     def stop(self, stopped):
-        self.proxy.stop(stopped)
+        self.proxy.stop(partial(self.leave, self.proxy.peers, stopped))
+
+    @staticmethod
+    def leave(peers, stopped):
+        if peers:
+            peers.leave()
+        stopped()
 
     def reload(self):
         self.proxy.reload(node_of(self.values))
--- a/wheathill/lab/worlds/sockets.py
+++ b/wheathill/lab/worlds/sockets.py
@@ -369,6 +369,7 @@
         self.next_port = FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT - 2000)
         self.hosts, self.seats, self.ports = {}, {}, {}
         self.fault = None
+        self.spent = {}             # what each instance took, where it is found out
         self.record = None          # the scene's, for what only this world can see
         self.decisions = None
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/wheathill/lab/worlds/virtual.py
+++ b/wheathill/lab/worlds/virtual.py
@@ -3,16 +3,21 @@
 
 import random
 
+from wheathill.config.peers import Told
 from wheathill.lab.worlds.beside import HeldSeat
 from wheathill.lab.worlds.clock import EPOCH, VirtualClock
 from wheathill.lab.worlds.host import raise_fault
-from wheathill.lab.worlds.network import Network, VirtualCarrier, VirtualHost
+from wheathill.lab.worlds.network import Links, Network, VirtualCarrier, VirtualHost
+from wheathill.lab.worlds.outside import Outside
 from wheathill.lab.worlds.seat import Seat
 from wheathill.net.proxy import Proxy
 from wheathill.policy import Balancer
 
 
-class VirtualWorld:
+PEERS_PORT = 9700
+
+
+class VirtualWorld(Outside):
     """Hosts on one network, and the proxies on them. Gives the scene its clock, hosts and proxies."""
 
     name = "virtual"
@@ -20,9 +25,15 @@
 
     def __init__(self, seed, network, decisions=Balancer, proxy=Proxy):
         self.clock = VirtualClock()
+        self.seed = seed
         self.net = Network(self.clock, random.Random(f"{seed}/network"), **network)
+        self.ways = Links(self.net, random.Random(f"{seed}/relay"), network["same"] + network["hop"],
+                          network["jitter"])
         self.decisions = decisions
         self.make_proxy = proxy
+        self.seats = {}
+        self.record = None      # the scene's
+        self.spent = {}
 
     def wall(self):
         return EPOCH + self.clock.time
@@ -37,8 +48,21 @@
     def proxy_address(name):
         return f"{name}.lab:9000"
 
-    def proxy(self, name, zone, values, log, held=False):
-        return (HeldSeat if held else Seat)(self, name, zone, values, log)
+    def proxy(self, name, zone, values, log, held=False, told=None):
+        seat = self.seats[name] = (HeldSeat if held else Seat)(self, name, zone, values, log)
+        seat.told = told
+        if told:
+            self.net.links = self.ways
+            self.ways.addresses[name] = told.listen
+        return seat
+
+    def peers_told(self, name, names, proxies):
+        """What an instance is told of its peers."""
+        listen = f"{name}.lab", PEERS_PORT
+        return Told(name=name, cluster="lab", listen=listen, advertise="%s:%d" % listen, key=b"the lab's own key",
+                    seeds=tuple(f"{other}.lab:{PEERS_PORT}" for other in names[:proxies.seeds]),
+                    roster=tuple(names) if proxies.roster else (), control=None, period=proxies.period_ms,
+                    patience=proxies.patience_ms)
 
     def slack(self, script):
         """One way and back between the farthest, and the jitter that is seldom passed."""
@@ -60,7 +84,12 @@
         return lambda: self.net.ways.remove(way)
 
     def run(self, seconds):
+        if self.net.links is not None:
+            self.watch()
         self.clock.run(seconds * 1000)
+        if self.net.links is not None:
+            lasting = [name for name, seat in self.seats.items() if seat.running and seat.starts == 1]
+            self.spent = {"datagrams_s": self.datagrams_s(lasting, seconds)}
 
     def sample(self):
         pass        # what a process holds can't be seen here: it is no process
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -105,8 +105,10 @@
     def late(self, client):
         """The decisions have missed a deadline, which only a fault can do, or this process stood still: the client
         must not suffer. One that was due long ago has given up, and is told nothing any more."""
-        behind = self.now() - client.sess.deadline - self.limits.answer_margin if client.sess else 0.0
-        self.log_event("fault" if behind < self.limits.sweep else "late", where="decisions",
+        now = self.now()
+        self.stood_still(now)
+        behind = now - client.sess.deadline - self.limits.answer_margin if client.sess else 0.0
+        self.log_event("late" if behind >= self.limits.sweep or now < self.old_until else "fault", where="decisions",
                        what="no answer in time", behind=round(behind))
         self.hung_up(client)
         if behind < self.limits.too_late:
