Membership: deaths and healed cuts known sooner, one holder of a name, no share before an answer

Change: a knock is five connections over its time; states are exchanged every period while they teach; who is out of reach is knocked at in turn with each exchange, and met; who speaks and is held for gone is told so with the answer; an order between two of one name (docs/design/membership.md); no share until a peer answers or three periods are over. `[[odd]]` members in scripts, a judge of them, and one more demand: nobody is buried, however shortly, by one that reaches it.

--- a/wheathill/lab/judging/fleet.py
+++ b/wheathill/lab/judging/fleet.py
@@ -16,9 +16,9 @@
 
     rule = "views"
 
-    def __init__(self, *args, agree, false, known):
+    def __init__(self, *args, agree, false, known, odd=()):
         super().__init__(*args)
-        self.agree, self.false, self.known = agree, false, known
+        self.agree, self.false, self.known, self.odd = agree, false, known, odd
         self.running, self.paused, self.cut = {}, {}, {}    # name (or pair) -> since when
         self.gone = {}          # name -> since when it doesn't run
         self.held = {}          # (who, whom) -> since when it is held for gone
@@ -30,6 +30,8 @@
         self.said = {}          # breaches told, once each
 
     def on_truth(self, now, running, paused, cut):
+        running = [name for name in running if name not in self.odd]
+        cut = [pair for pair in cut if not any(name in self.odd for name in pair.split())]
         for kept, here in ((self.running, running), (self.paused, paused), (self.cut, cut)):
             for key in here:
                 if key not in kept:
@@ -71,6 +73,13 @@
                 del self.fine[pair]
             self.running.pop(name, None)
 
+    def on_log(self, now, node, event, **fields):
+        """However short: one that answers is not buried by who reaches it."""
+        if event == "peer" and fields["state"] == "dead":
+            since = self.fine.get((node, fields["peer"]))
+            if since is not None and now - since > self.false:
+                self.once(now, node, f"buries {fields['peer']} at {now:.0f}, reaching it since {since:.0f}")
+
     def on_believes(self, now, proxy, digest, members, **_):
         if proxy not in self.running or proxy in self.paused:
             return
@@ -131,10 +140,6 @@
         self.over = None        # since when the sum is over one
         self.largest = 0.0
 
-    def on_truth(self, now, running, paused, cut):
-        self.running = running
-        self.shares = {name: share for name, share in self.shares.items() if name in running}
-
     def on_host(self, now, name, state):
         if state == "killed":
             self.shares.pop(name, None)
@@ -142,6 +147,11 @@
     def on_believes(self, now, proxy, share, **_):
         if proxy in self.running:
             self.shares[proxy] = share
+
+    def on_truth(self, now, running, paused, cut):
+        """Of what all have said since they were asked last."""
+        self.running = running
+        self.shares = {name: share for name, share in self.shares.items() if name in running}
         total = sum(self.shares.values())
         self.largest = max(self.largest, total)
         if total <= 1.001:
@@ -202,6 +212,65 @@
                         server)
 
 
+class Apart(Judge):
+    """Who has another cluster, key or version, or claims another's name, stays apart; that is seen, and nobody else
+    suffers."""
+
+    rule = "apart"
+    REASONS = {"cluster": "another cluster", "key": "another key", "version": "another version"}
+
+    def __init__(self, *args, odd, within):
+        super().__init__(*args)
+        self.odd = {item.on: item for item in odd}
+        self.within = within
+        self.seen = {}          # (odd one, reason) -> None, once others have dropped what it says
+        self.holders = {}       # name -> {proxy: since when it holds that name and is not alone}
+        self.said = {}
+        self.nobody = {item.claims: 0.0 for item in odd if item.claims}     # name -> since when nobody holds it
+
+    def on_truth(self, now, running, paused, cut):
+        for name in self.nobody:
+            if any(proxy in running for proxy in self.holders.get(name, ())):
+                self.nobody[name] = now
+            elif now - self.nobody[name] > self.within:
+                self.once(now, f"nobody holds the name {name}, which a running one claims")
+        for holders in self.holders.values():
+            for proxy in [proxy for proxy in holders if proxy not in running]:
+                del holders[proxy]
+
+    def on_believes(self, now, proxy, name, alone, dropped, members, **_):
+        odd = self.odd.get(proxy)
+        holders = self.holders.setdefault(name, {})
+        if alone:
+            holders.pop(proxy, None)
+        else:
+            holders.setdefault(proxy, now)
+        if len(holders) > 1 and now - sorted(holders.values())[1] > self.within:
+            self.once(now, f"{' and '.join(sorted(holders))} hold the name {name}")
+        if odd is not None and not odd.claims and (odd.cluster or odd.key or odd.version):
+            for other, state in members.items():
+                if other != name:
+                    self.once(now, f"{proxy} knows {other}")
+        elif odd is None:
+            for other, item in self.odd.items():
+                if other in members and not item.claims:
+                    self.once(now, f"{proxy} knows {other}")
+                for field, reason in self.REASONS.items():
+                    if getattr(item, field) and dropped.get(reason):
+                        self.seen[other, reason] = None
+
+    def once(self, now, what):
+        if what not in self.said:
+            self.said[what] = None
+            self.breach(now, what)
+
+    def close(self, now):
+        for name, item in self.odd.items():
+            for field, reason in self.REASONS.items():
+                if getattr(item, field) and (name, reason) not in self.seen:
+                    self.breach(now, f"nobody has dropped what {name} says as of {reason}")
+
+
 class Effects(Judge):
     """Not a rule of the program's: a fault that did nothing proves nothing."""
 
--- a/wheathill/lab/scripts/language.py
+++ b/wheathill/lab/scripts/language.py
@@ -95,6 +95,16 @@
     patience_ms: Annotated[float, Meta(ge=10, le=60_000)] = 80.0
 
 
+class Odd(Table):
+    """One instance whose file differs from the others'; it is meant to stay apart."""
+
+    on: Name
+    cluster: Name | None = None
+    key: bool = False           # another one
+    version: bool = False       # of what instances say to one another
+    claims: Name | None = None  # the name of another, under which it speaks to its peers
+
+
 class Fleet(Table):
     """What is judged of instances that know their peers, in ms."""
 
@@ -176,6 +186,7 @@
     proxies: Proxies = field(default_factory=Proxies)
     front: FrontTable = field(default_factory=FrontTable)
     fleet: Fleet = field(default_factory=Fleet)
+    odd: list[Odd] = []
     event: list[Event] = []
 
 
@@ -259,6 +270,12 @@
             yield f"{at}.zone: {crowd.zone!r} is not one of zones"
         if crowd.within_s > script.seconds:
             yield f"{at}.within_s: past the script's end"
+    for place, odd in enumerate(script.odd):
+        for key, name in (("on", odd.on), ("claims", odd.claims)):
+            if name is not None and name not in proxies:
+                yield f"odd[{place}].{key}: {name!r} is no proxy"
+        if not (odd.cluster or odd.key or odd.version or odd.claims):
+            yield f"odd[{place}]: nothing in which it differs"
     down = {}
     for place, event in sorted(enumerate(script.event), key=lambda item: (item[1].at_s or 0.0, item[0])):
         yield from event_faults(event, f"event[{place}]", script, gateways, proxies, down)
--- a/wheathill/lab/worlds/network.py
+++ b/wheathill/lab/worlds/network.py
@@ -33,7 +33,7 @@
         self.carrier.listen(lambda wire: take(wire, None), self.where, lambda: True)
 
     def tap(self, machine, wire, peer=None):
-        return Tap(self, machine, wire)
+        return VirtualTap(self, machine, wire)
 
     def dial(self, machine, address, peer=None):
         tap = self.tap(machine, None)
@@ -67,6 +67,12 @@
         self.net.heal()
 
 
+class VirtualTap(Tap):
+    @property
+    def came(self):
+        return self.wire.left
+
+
 class Door:
     """A listening address. Connections come up in the backlog and are taken in a few at a time."""
 
@@ -260,6 +266,8 @@
             other = to
         if wire.waiting or self.blocked(one, other):
             wire.waiting += 1
+            if wire.peer is not None and wire.peer.left is None:
+                wire.peer.left = self.clock.time
             self.stalled.append((wire, one, to, call, args))
             return
         when = self.clock.time + self.delay(one, other)
@@ -334,6 +342,7 @@
         self.on_way = 0             # bytes sent and not read by the peer
         self.last = 0.0             # when the last thing sent arrives
         self.came = 0.0             # when the last bytes came
+        self.left = None            # when the first that found no way left the peer
         self.passed = 0             # bytes that a way which cuts streams off has let pass; -1: none any more
         self.waiting = 0            # things sent that found no way yet
 
--- a/wheathill/lab/worlds/outside.py
+++ b/wheathill/lab/worlds/outside.py
@@ -15,7 +15,8 @@
                         if not self.ways.reaches(one, other)]}
 
     def believes(self, seat, found):
-        self.record.note("believes", proxy=seat.name, state=found["state"], digest=found["digest"],
+        self.record.note("believes", proxy=seat.name, name=found["name"], alone=found["alone"],
+                         dropped=found["links"]["dropped"], state=found["state"], digest=found["digest"],
                          fleet=found["fleet"], share=found["share"], differs=len(found["differs"]),
                          members={member["name"]: member["state"] for member in found["members"]})
 
--- a/wheathill/lab/worlds/seat.py
+++ b/wheathill/lab/worlds/seat.py
@@ -20,7 +20,7 @@
         self.proxy = None
         self.starts = 0
         self.calls = False          # operators may call
-        self.told = None            # of its peers, where it knows them
+        self.told = self.odd = None     # of its peers, where it knows them; what is odd about it
 
     @property
     def admin(self):
@@ -54,6 +54,8 @@
         birth = random.Random(f"{self.world.seed}/{self.name}/birth {self.starts}").getrandbits(48) | 1
         self.proxy.peers = Peers(self.told, self.proxy, carrier, self.host.clock, self.log, birth,
                                  node.balancer["proxies"])
+        if self.odd and self.odd.version:
+            self.proxy.peers.seal.VERSION += 1
         self.host.clock.soon(self.proxy.peers.start)
 
     @property
--- a/wheathill/lab/worlds/virtual.py
+++ b/wheathill/lab/worlds/virtual.py
@@ -48,18 +48,19 @@
     def proxy_address(name):
         return f"{name}.lab:9000"
 
-    def proxy(self, name, zone, values, log, held=False, told=None):
+    def proxy(self, name, zone, values, log, held=False, told=None, odd=None):
         seat = self.seats[name] = (HeldSeat if held else Seat)(self, name, zone, values, log)
-        seat.told = told
+        seat.told, seat.odd = told, odd
         if told:
             self.net.links = self.ways
             self.ways.addresses[name] = told.listen
         return seat
 
-    def peers_told(self, name, names, proxies):
+    def peers_told(self, name, names, proxies, odd):
         """What an instance is told of its peers."""
         listen = f"{name}.lab", PEERS_PORT
-        return Told(name=name, cluster="lab", listen=listen, advertise="%s:%d" % listen, key=b"the lab's own key",
+        return Told(name=odd and odd.claims or name, cluster=odd and odd.cluster or "lab", listen=listen,
+                    advertise="%s:%d" % listen, key=b"another key" if odd and odd.key else b"the lab's own key",
                     seeds=tuple(f"{other}.lab:{PEERS_PORT}" for other in names[:proxies.seeds]),
                     roster=tuple(names) if proxies.roster else (), control=None, period=proxies.period_ms,
                     patience=proxies.patience_ms)
--- a/wheathill/peers/facts.py
+++ b/wheathill/peers/facts.py
@@ -33,18 +33,22 @@
 
 
 class Facts:
-    """`meant`: how many proxies the file names, which is a floor; `roster`: their names, where it says so."""
+    """`meant`: how many proxies the file names, which is a floor; `roster`: their names, where it says so. `silence`:
+    ms after the start in which an answer of others would have come; until then, or the first, it takes no share: the
+    others may have taken over what the process before it left."""
 
     MOST_NAMES = 4096
     UNANSWERED = 3      # probes in a row that nobody answers: whoever is alive can't be reached from here
 
-    def __init__(self, now, name, birth, meant, roster, aged):
+    def __init__(self, now, name, birth, meant, roster, aged, silence):
+        self.speaks = now + silence     # from when on it counts as the only one, where nobody was heard
         self.name, self.birth, self.meant, self.roster, self.aged = name, birth, meant, tuple(roster), aged
         self.there = {}                 # name -> Known
         self.names = {name: None}       # all that were ever heard of
         # A process that starts may follow one that spent its share a moment ago.
         self.ended = deque([now])       # when processes were surely gone
         self.old = False                # all have agreed on this one
+        self.apart = False              # another holds its name, or it was taken off: nobody counts it
         self.state, self.since = ALONE, now
 
     # What is told
@@ -105,7 +109,7 @@
         same = all(self.there[name].digest == mine for name in reached)
         if len(self.names) == 1:
             state = ALONE
-        elif unanswered >= self.UNANSWERED or 2 * (1 + len(reached)) <= every and every > 1:
+        elif self.apart or unanswered >= self.UNANSWERED or 2 * (1 + len(reached)) <= every and every > 1:
             state = CUT_OFF
         elif len(reached) < len(self.there) or not same or \
                 any(self.there[name].state == SUSPECT for name in reached):
@@ -114,14 +118,18 @@
             state = AGREED
         if state != self.state:
             self.state, self.since = state, now
-        self.old = self.old or state == AGREED
+        self.old = (self.old or state == AGREED) and not self.apart
         return state
 
     def share(self, now):
         """This proxy's part of a limit over all, between 0 and 1. One that is new takes nothing that those who were
         there before have not yet left to it."""
+        if self.apart:
+            return 0.0
         whole = 1.0 / self.fleet(now)
-        if self.old or self.state == ALONE:
+        if self.state == ALONE:
+            return whole if now >= self.speaks else 0.0
+        if self.old:
             return whole
         before = [known for known in self.there.values() if known.old]
         if not before:
@@ -140,8 +148,8 @@
         before = [name for name in sorted(self.there) if self.there[name].old]
         whole = unit * (bears + sum(bears if known.bears is None else known.bears for known in self.there.values()))
         if self.state == ALONE or not before and not self.old or whole >= 1 + len(before):
-            return unit * bears
-        if not self.old:
+            return unit * bears         # none before `speaks`: what is borne goes by the share
+        if not self.old or self.apart:
             return 0.0
         ranked = sorted([self.name, *before], key=lambda name: hashlib.blake2b(
             f"{server} {name}".encode(), digest_size=8).digest())
--- a/wheathill/peers/frames.py
+++ b/wheathill/peers/frames.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-MARK, VERSION = b"wh", 1
+MARK = b"wh"
 HEAD = struct.Struct("!2sHII16s")
 
 
@@ -56,6 +56,7 @@
 class Seal:
     """Of one process. `birth` tells it from all others, also from those before it under the same name."""
 
+    VERSION = 1
     SENDERS = 4096      # whose counters are kept
 
     def __init__(self, cluster, key, name, birth):
@@ -69,17 +70,16 @@
         """A frame as bytes; `to_birth` 0 where it is not known yet."""
         self.counter += 1
         body = self.encode([self.cluster, self.name, self.birth, to_birth, self.counter, words])
-        return HEAD.pack(MARK, VERSION, len(body), crc32(body), digest(self.key, body)) + body
+        return HEAD.pack(MARK, self.VERSION, len(body), crc32(body), digest(self.key, body)) + body
 
-    @staticmethod
-    def length(data, most):
+    def length(self, data, most):
         """Of the whole frame that `data` begins with, None while its head is not complete."""
         if len(data) < HEAD.size:
             return None
         mark, version, length, _, _ = HEAD.unpack_from(data)
         if mark != MARK:
             raise Dropped("damaged")
-        if version != VERSION:
+        if version != self.VERSION:
             raise Dropped("another version")
         if length > most:
             raise Dropped("too long")
--- a/wheathill/peers/instance.py
+++ b/wheathill/peers/instance.py
@@ -27,6 +27,7 @@
     TELLS = 8               # instances told a period of what was seen: the same however many there are
     MOST_SEEN = 64          # servers a message
     NOTED = 64              # instances told at once that this view has changed; more hear it with what is said anyway
+    SILENCE = 3             # periods in which others would have answered
     ANSWERS = 1000.0        # for the views of others
 
     def __init__(self, told, proxy, carrier, clock, log, birth, meant):
@@ -39,7 +40,9 @@
         self.membership = Membership(
             self, rng, told.name, told.advertise, birth, period=told.period, patience=told.patience, helpers=3,
             kept=60 * told.period, sync_every=10 * told.period)
-        self.facts = Facts(now, told.name, birth, meant, told.roster, self.AGED)
+        others = [seed for seed in told.seeds if seed != told.advertise]
+        self.facts = Facts(now, told.name, birth, meant, told.roster, self.AGED,
+                           self.SILENCE * told.period if others else 0.0)
         self.witnesses = Witnesses(self.FRESH)
         self.drains, self.starts = Drains(), Starts()
         self.own = {}           # server name -> (phase, start) as the own list has it
@@ -176,6 +179,7 @@
                 self.say(member.address, words)
 
     def look(self, now):
+        self.facts.apart = self.membership.alone
         before, since = self.facts.state, self.facts.since
         state = self.facts.look(now, self.membership.unanswered)
         if state != before:
--- a/wheathill/peers/links.py
+++ b/wheathill/peers/links.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict, deque
 
 from wheathill.net.machine import Machine
-from wheathill.peers.frames import Dropped, Seal
+from wheathill.peers.frames import Dropped
 
 HELLO = "hello"
 
@@ -95,10 +95,8 @@
         peer.stream.say(words)
 
     def knock(self, address, wait, told):
-        """Whether a process listens there, found by a connection: `told` with "up", "refused" or "nothing"."""
-        knock = Knock(self, told)
-        knock.set_timer(wait, knock.over, "nothing")
-        knock.wire = self.carrier.connect(knock, parts(address), self.source)
+        """Whether a process listens there, found by connections: `told` with "up", "refused" or "nothing"."""
+        Knocks(self, address, wait, told).begin()
 
     # In
 
@@ -167,27 +165,50 @@
     return host.strip("[]"), int(port)
 
 
-class Knock(Machine):
-    """Only asks whether a connection comes up."""
+class Knocks:
+    """Several connections, one after another within the time: the system sends the first segment of each again after
+    a second, then two, which is too seldom where a quarter is lost. The first that is answered counts for all."""
 
-    def __init__(self, links, told):
-        super().__init__(links, links.limits, links.clock)
-        self.told = told
+    TRIES = 5
+
+    def __init__(self, links, address, wait, told):
+        self.links, self.address, self.wait, self.told = links, address, wait, told
+        self.knocks = []
+
+    def begin(self):
+        self.links.clock.after(self.wait, self.over, "nothing")
+        for number in range(self.TRIES):
+            self.links.clock.after(number * self.wait / self.TRIES, self.ask)
+
+    def ask(self):
+        if self.told is not None:
+            knock = Knock(self.links, self.over)
+            self.knocks.append(knock)
+            knock.wire = self.links.carrier.connect(knock, parts(self.address), self.links.source)
 
     def over(self, how):
-        self.timer.cancel()
         told, self.told = self.told, None
         if told is not None:
             told(how)
-        self.wire.abort()
+        for knock in self.knocks:
+            knock.wire.abort()
+        self.knocks = []
+
+
+class Knock(Machine):
+    """Only asks whether a connection comes up."""
+
+    def __init__(self, links, told):
+        super().__init__(links, links.limits, links.clock)
+        self.told = told
 
     def connected(self):
-        self.over("up")
+        self.told("up")
 
     def lost(self, reset):
         # What can't be reached at all may be so for a moment: that, too, is only said when the time is over.
         if self.wire.refused:
-            self.over("refused")
+            self.told("refused")
 
 
 class Stream(Machine):
@@ -202,7 +223,7 @@
     def received(self, data):
         self.rest += data
         try:
-            while (length := Seal.length(self.rest, Links.FRAME)) is not None and len(self.rest) >= length:
+            while (length := self.links.seal.length(self.rest, Links.FRAME)) is not None and len(self.rest) >= length:
                 frame = bytes(self.rest[:length])
                 del self.rest[:length]
                 self.frame(frame)
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -28,7 +28,7 @@
     one."""
 
     __slots__ = ("name", "address", "incarnation", "birth", "state", "since", "accusers", "deadline", "heard",
-                 "doubted", "buried", "certain")
+                 "doubted", "buried", "told", "certain", "claimed")
 
     def __init__(self, name, address, incarnation, birth, state, since):
         self.name, self.address, self.incarnation, self.birth = name, address, incarnation, birth
@@ -38,7 +38,9 @@
         self.heard = since          # when it last said something itself
         self.doubted = None         # since when it doesn't answer this instance, which knocks
         self.buried = None          # since when it is knocked at for the last time
+        self.told = -1              # incarnation of which others say that it is dead, while that is looked into
         self.certain = False        # its death was seen: its machine refuses connections
+        self.claimed = None         # birth of the last that claimed its name
 
     def words(self):
         return [self.state, self.name, self.address, self.incarnation, self.birth]
@@ -56,8 +58,8 @@
 
     def take(self, most, members, first=None):
         """Up to `most` updates as words; `first` goes in whatever was told of it."""
-        # Among the least told those that are gone: at a start of hundreds the newcomers would keep them waiting.
-        chosen = sorted(self.told, key=lambda member: (self.told[member][0], -RANK[member.state]))[:most]
+        # First those that are gone: at a start of hundreds the newcomers would keep them waiting.
+        chosen = sorted(self.told, key=lambda member: (RANK[member.state] < 2, self.told[member][0]))[:most]
         if first is not None and first not in chosen:
             chosen = [first, *chosen[:most - 1]]
         limit = math.ceil(self.times * math.log10(members + 1))
@@ -81,12 +83,14 @@
     MOST_HEALTH = 8             # Lifeguard's S: 9 times the usual patience at the most
     STATE_CHUNK = 24            # entries a message
     SUSPICION, SLOWEST, CONFIRMATIONS = 3.0, 6.0, 3
-    # Periods for a connection to come up, without losses and with many: two tries of TCP's at the usual period, or
-    # three, and three or four before a burial.
-    DOUBT, BURIAL = (1.3, 3.5), (3.5, 8.0)
+    # Periods for one of several connections to come up (`links.Knocks`), without losses and with many.
+    DOUBT, BURIAL = (1.3, 2.0), (3.5, 3.5)
+    RUMOUR = 0.5, 1.2           # the same, where others have buried it already
     CHECKS = 4                  # of those that hear of a suspicion, so many look for themselves
+    HELD, CONTESTS = 10.0, 3    # periods after which a name is one's own; how often it is then defended against another
+    PROOFS = 8                  # of those that can't be reached, asked for again with each exchange
     MOST_REMOVED = MOST_DOUBTFUL = 1024
-    RECENT = 5.0                # periods that own sight of a member beats a rumour of its death
+    RECENT = 5.0, 20.0          # periods that own sight of a member beats a rumour of its death: among few, among many
 
     def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every):
         self.actions = actions
@@ -94,9 +98,13 @@
         self.uniform, self.choice, self.random = rng.uniform, rng.choice, rng.random
         self.period, self.patience, self.helpers, self.kept = period, patience, helpers, kept
         self.sync_every = sync_every
+        # Often while it teaches: where hundreds start at once each has met few, and rumours of all are long on their
+        # way.
+        self.sync_wait = min(period, sync_every)
+        self.news = False           # a whole state has told of some that were not known
         self.me = Member(name, address, 0, birth, ALIVE, 0.0)
         self.members = {name: self.me}
-        self.rumours = Rumours(times=6.0)
+        self.rumours = Rumours(times=8.0)
         self.health = 0             # 0: well; each missed answer makes this instance more careful
         self.round = []             # whom to probe next
         self.number = 0
@@ -105,29 +113,35 @@
         self.asked = {}             # number of a probe made for another -> (address to answer, its number)
         self.seeds = []
         self.joined = False
-        self.alone = False          # another holds its name
+        self.asking = False         # whether the alarm for the next try is set
+        self.alone = False          # another holds its name: it probes nobody, and says nothing of itself but its claim
+        self.off = False            # an operator took it off
+        self.held = 0.0             # since when it holds its name
+        self.contests = {}          # birth of another that claims it -> how often this one has gone past it
         self.stopped = False
         self.due = None             # when the next probe's alarm rings
         self.late = deque(maxlen=16)    # of the last probes: who answered late or not, else None
         self.unanswered = 0         # probes in a row that nobody answered
         self.woke = None            # since when it has been stopped itself and not been answered yet
+        self.proofs = []            # names of those that can't be reached, whom to ask for again next
         self.removed = {}           # (name, birth) of processes that are gone for good
 
     # Start and end
 
     def start(self, now, seeds):
         self.seeds = [seed for seed in seeds if seed != self.me.address]
-        self.me.since = now
+        self.me.since = self.held = now
         self.rumours.add(self.me, self.me.name)
         self.join(now)
         # Not in step with those that start together.
         self.set_probe(now + self.uniform(0.0, self.period))
-        self.actions.alarm(now + self.uniform(0.5, 1.5) * self.sync_every, "sync")
+        self.actions.alarm(now + self.uniform(0.5, 1.5) * self.sync_wait, "sync")
 
     def join(self, now):
-        for seed in self.seeds:
+        for seed in self.seeds if not self.off else ():
             self.actions.send(seed, [JOIN, self.me.words()])
-        if self.seeds and not self.joined:
+        if self.seeds and not self.joined and not self.asking:
+            self.asking = True
             self.actions.alarm(now + self.period, "join")
 
     def leave(self, now):
@@ -184,10 +198,15 @@
             self.end_suspicions(now)
         elif what[0] == "prove":
             self.prove(now, *what[1:])
-        elif what == "join" and not self.joined:
-            self.join(now)
+        elif what == "join":
+            self.asking = False
+            if not self.joined:
+                self.join(now)
         elif what == "sync":
-            self.actions.alarm(now + self.sync_every * self.uniform(0.75, 1.25), "sync")
+            self.sync_wait = max(self.period, self.sync_wait / 2) if self.news else min(
+                self.sync_every, 2 * self.sync_wait)
+            self.news = False
+            self.actions.alarm(now + self.sync_wait * self.uniform(0.75, 1.25), "sync")
             self.sync(now)
 
     def set_probe(self, when):
@@ -208,6 +227,8 @@
                 self.set_deadline(now, member)
 
     def begin_probe(self, now):
+        if self.alone:
+            return
         for name in sorted(self.members):
             suspect = self.members[name]
             if suspect.doubted is not None and suspect.state in (ALIVE, SUSPECT) or \
@@ -238,6 +259,10 @@
             if member.state in (ALIVE, SUSPECT) and self.members.get(member.name) is member:
                 return member
 
+    def enter_round(self, member):
+        """Anywhere in it: else those met first would be probed first, and then not for a whole round."""
+        self.round.insert(int(self.random() * (len(self.round) + 1)), member)
+
     def send_probe(self, member, number):
         # A suspect hears of it first of all, so that it can deny it.
         first = member if member.state == SUSPECT else None
@@ -261,7 +286,8 @@
         self.probe = None
         self.late.append(target.name if late or not answered else None)
         if answered:
-            self.health = max(0, self.health - 1)
+            # One that was cut off has grown careful by those that it could not reach: it is well again soon.
+            self.health = max(0, self.health - 1) if late else self.health // 2
             return
         self.unanswered += 1
         # Helpers that say nothing at all point at this instance, not at the target.
@@ -319,7 +345,9 @@
                 else:
                     self.set_gone(now, member, DEAD, self.me.name)
         elif member.state == DEAD:
-            self.actions.alarm(now + self.sync_every * self.uniform(0.5, 1.0), ("prove", name, birth))
+            if how == "up":
+                # It was cut off, or stood still, and is there: it hears what is said of it, and denies.
+                self.meet(member)
         elif how == "up":
             # It stands still, or its datagrams are lost: a death is neither.
             if member.state == SUSPECT:
@@ -328,7 +356,7 @@
         elif self.woke is not None or since is None or member.heard > since or why == "claim":
             if member.state == SUSPECT:
                 self.set_deadline(now, member)
-        elif why == "rumour":
+        elif member.told >= member.incarnation:
             self.set_gone(now, member, DEAD, self.me.name)
         elif member.state == ALIVE:
             self.accuse(now, member, member.incarnation, self.me.name)
@@ -362,7 +390,10 @@
             self.hear_from(now, sender, address)
             self.hear(now, updates)
             if number:
-                self.actions.send(address, [ACK, number, self.me.name, self.gossip()])
+                # Who is held for gone here, and speaks, is told so, and denies it.
+                member = self.members.get(sender)
+                accused = member is not None and member.state in (SUSPECT, DEAD) and member.address == address
+                self.actions.send(address, [ACK, number, self.me.name, self.gossip(member if accused else None)])
         elif kind == ACK:
             number, sender, updates = rest
             self.woke, self.unanswered = None, 0
@@ -387,8 +418,10 @@
         elif kind == JOIN:
             self.on_join(now, address, rest[0])
         elif kind == STATE:
-            self.joined, self.alone = True, False
+            self.joined = True
+            before = len(self.members)
             self.hear(now, rest[0])
+            self.news = self.news or len(self.members) > before
         elif kind == CLASH:
             self.on_clash(now, rest[0])
         else:
@@ -432,7 +465,9 @@
         if known is not None and known.birth != birth and known.address != their_address and \
                 self.holds_name(known):
             # Two claim one name: who holds it keeps it while it is there.
-            self.actions.log(f"peers: {their_address} claims the name {name}, which {known.address} holds")
+            if known.claimed != birth:
+                known.claimed = birth
+                self.actions.log(f"peers: {their_address} claims the name {name}, which {known.address} holds")
             self.actions.send(their_address, [CLASH, [*known.words()]])
             if known is not self.me:
                 # It may have died a moment ago, and its successor be at another address.
@@ -440,17 +475,46 @@
             return
         self.send_state(their_address)
         self.hear(now, [[*words, name]])
+        # Last of all, that it is taken in: it may have been told otherwise.
+        taken = self.members.get(name)
+        if taken is not None and taken.birth == birth:
+            self.actions.send(their_address, [STATE, [[*taken.words(), self.me.name]]])
 
     def holds_name(self, known):
         return known is self.me or known.state == ALIVE
 
     def on_clash(self, now, words):
-        _, name, address, _, birth = words
+        _, name, address, incarnation, birth = words
         if name == self.me.name and birth != self.me.birth:
+            self.contest(now, address, incarnation, birth)
+
+    def contest(self, now, address, incarnation, birth):
+        """Another process goes by its name, elsewhere. All others hold to the higher incarnation, and of equal ones to
+        the lower birth. One that has held the name for a while goes past the other, a few times; where both do,
+        after a cut, the lower birth stays."""
+        if (incarnation, -birth) < (self.me.incarnation, -self.me.birth) or self.off:
+            return
+        gone_past = self.contests.get(birth, 0)
+        held = not self.alone and now - self.held >= self.HELD * self.period
+        if held and (gone_past < self.CONTESTS or self.me.birth < birth):
+            self.contests[birth] = gone_past + 1
+            self.go_past(incarnation)
+        elif not self.alone:
             # It asks again: who holds the name may be gone by then.
-            if not self.alone:
-                self.actions.log(f"peers: the name {name} is held by {address}; this instance stays alone")
             self.alone = True
+            self.rumours.told.pop(self.me, None)
+            self.actions.log(f"peers: the name {self.me.name} is held by {address}; this instance stays alone")
+
+    def hold(self, now):
+        """Its name is its own."""
+        if self.alone and not self.off:
+            self.alone, self.held = False, now
+            self.actions.log(f"peers: the name {self.me.name} is this instance's")
+
+    def go_past(self, incarnation):
+        if incarnation >= self.me.incarnation:
+            self.me.incarnation = incarnation + 1
+            self.rumours.add(self.me, self.me.name)
 
     def send_state(self, address):
         everyone = [[*self.members[name].words(), self.me.name] for name in sorted(self.members)]
@@ -467,16 +531,25 @@
         doubtful = [name for name, member in self.members.items() if member.state == DEAD and not member.certain]
         for name in doubtful[:-self.MOST_DOUBTFUL]:
             del self.members[name]
+        # Some in turn are asked for again; a connection that comes up ends a cut sooner than chance does.
+        self.proofs = [name for name in self.proofs if name in doubtful] or doubtful
+        asked, self.proofs = self.proofs[:self.PROOFS], self.proofs[self.PROOFS:]
+        for name in asked:
+            self.prove(now, name, self.members[name].birth)
         others = [self.members[name] for name in sorted(self.members)
                   if name != self.me.name and self.members[name].state != LEFT]
-        if others:
-            other = self.choice(others)
-            self.send_state(other.address)
-            self.actions.send(other.address, [JOIN, self.me.words()])
+        if self.alone:
+            self.join(now)
+        elif others:
+            self.meet(self.choice(others))
         elif not self.joined or self.seeds:
             self.joined = False
             self.join(now)
 
+    def meet(self, other):
+        self.send_state(other.address)
+        self.actions.send(other.address, [JOIN, self.me.words()])
+
     # What is said of members
 
     def hear(self, now, updates):
@@ -486,25 +559,27 @@
             if (name, birth) in self.removed:
                 continue
             if name == self.me.name:
-                self.hear_of_me(now, state, incarnation, birth, by)
+                self.hear_of_me(now, state, address, incarnation, birth, by)
             else:
                 self.hear_of(now, state, name, address, incarnation, birth, by)
 
-    def hear_of_me(self, now, state, incarnation, birth, by):
+    def hear_of_me(self, now, state, address, incarnation, birth, by):
         if birth != self.me.birth:
+            if state == ALIVE and address != self.me.address:
+                return self.contest(now, address, incarnation, birth)
             # Of the process that had this name before: this one goes past it.
-            if incarnation >= self.me.incarnation:
-                self.me.incarnation = incarnation + 1
-                self.rumours.add(self.me, self.me.name)
-        elif state in (SUSPECT, DEAD) and incarnation >= self.me.incarnation:
+            self.hold(now)
+            self.go_past(incarnation)
+        elif state == LEFT and not self.off:
+            self.alone = self.off = True
+            self.actions.log("peers: an operator took this instance off; it comes back with its next start")
+        elif state == ALIVE:
+            self.hold(now)
+        elif state in (SUSPECT, DEAD) and incarnation >= self.me.incarnation and not self.alone:
             # To be accused is a sign of being slow.
-            self.me.incarnation = incarnation + 1
             self.health = min(self.MOST_HEALTH, self.health + 1)
-            self.rumours.add(self.me, self.me.name)
+            self.go_past(incarnation)
             self.deny(by)
-        elif state == LEFT and not self.alone:
-            self.alone = True
-            self.actions.log("peers: an operator took this instance off; it comes back with its next start")
 
     def deny(self, by):
         """At once, to who said so and to a few more: what rides on probes may come too late."""
@@ -521,6 +596,7 @@
         if known is None:
             if state in (ALIVE, SUSPECT):
                 known = self.members[name] = Member(name, address, incarnation, birth, ALIVE, now)
+                self.enter_round(known)
                 self.rumours.add(known, by)
                 self.actions.changed(known, None)
                 if state == SUSPECT:
@@ -532,8 +608,10 @@
             return
         if known.birth != birth:
             # Another process under the name: it counts where it is ahead, or where the one known is gone. Births
-            # have no order, but one that is surely gone or was succeeded at its address never counts again.
-            if state == ALIVE and (incarnation > known.incarnation or known.state in (DEAD, LEFT)):
+            # have no order, but one that is surely gone or was succeeded at its address never counts again. Of two
+            # that are there the lower birth counts, so that all come to the same.
+            ahead = (incarnation, -birth) > (known.incarnation, -known.birth) and known.address != address
+            if state == ALIVE and (incarnation > known.incarnation or ahead or known.state in (DEAD, LEFT)):
                 if known.state == ALIVE and known.address != address:
                     self.actions.log(f"peers: {name} is at {address} now, and was at {known.address}")
                 self.set_alive(now, known, address, incarnation, birth, by)
@@ -552,7 +630,9 @@
                     known.doubted = now
                     self.knock(known, "doubt", self.DOUBT)
         elif known.state in (ALIVE, SUSPECT) and incarnation >= known.incarnation:
-            if state == DEAD and now - known.heard < self.RECENT * self.period:
+            # Each speaks here twice in a round, or so: of seven one was not heard for five periods, and taken for dead.
+            recent = min(self.RECENT[1], max(self.RECENT[0], 2.0 * len(self.members)))
+            if state == DEAD and now - known.heard < recent * self.period:
                 return self.verify(now, known, incarnation, by)
             known.incarnation = incarnation
             self.set_gone(now, known, state, by)
@@ -560,20 +640,23 @@
     def verify(self, now, member, incarnation, by):
         """Own sight beats rumour: somebody, perhaps cut off from it, has buried one that spoke here a moment ago. It
         is told, so that it denies, and knocked at; dead is it where that fails too."""
+        member.told = incarnation
         if member.doubted is None and self.woke is None:
             member.doubted = now
-            self.knock(member, "rumour", self.DOUBT)
+            self.knock(member, "rumour", self.RUMOUR)
             self.number += 1
             said = [DEAD, member.name, member.address, incarnation, member.birth, by]
             self.actions.send(member.address, [PING, self.number, self.me.name, [said]])
 
     def set_alive(self, now, member, address, incarnation, birth, by):
         old, changed = member.state, member.birth != birth
-        member.doubted, member.buried, member.certain, member.heard = None, None, False, now
+        member.doubted, member.buried, member.certain, member.heard, member.told = None, None, False, now, -1
         member.address, member.incarnation, member.birth = address, incarnation, birth
         member.state, member.since, member.deadline = ALIVE, now, None
         self.rumours.add(member, by)
         if old != ALIVE or changed:
+            if old in (DEAD, LEFT):
+                self.enter_round(member)
             self.actions.changed(member, old)
 
     def set_gone(self, now, member, state, by):
