Rig: what one instance may hold, by script; a client given up while it came up asks nothing

`[[instance]]` sets them; the limit on descriptors is the system's, memory is read from outside.

The tap tells no more once it was aborted (lab/worlds/tap.connected).

--- a/wheathill/lab/scripts/language.py
+++ b/wheathill/lab/scripts/language.py
@@ -105,6 +105,14 @@
     claims: Name | None = None  # the name of another, under which it speaks to its peers
 
 
+class Instance(Table):
+    """What one proxy is allowed, where it is not what all are."""
+
+    on: Name
+    sockets: Annotated[int, Meta(ge=64, le=65_536)] | None = None
+    memory_mb: Annotated[float, Meta(ge=16)] | None = None
+
+
 class Fleet(Table):
     """What is judged of instances that know their peers, in ms."""
 
@@ -187,6 +195,7 @@
     front: FrontTable = field(default_factory=FrontTable)
     fleet: Fleet = field(default_factory=Fleet)
     odd: list[Odd] = []
+    instance: list[Instance] = []
     event: list[Event] = []
 
 
@@ -270,6 +279,9 @@
             yield f"{at}.zone: {crowd.zone!r} is not one of zones"
         if crowd.within_s > script.seconds:
             yield f"{at}.within_s: past the script's end"
+    for place, item in enumerate(script.instance):
+        if item.on not in proxies:
+            yield f"instance[{place}].on: {item.on!r} is no proxy"
     for place, odd in enumerate(script.odd):
         for key, name in (("on", odd.on), ("claims", odd.claims)):
             if name is not None and name not in proxies:
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -133,6 +133,7 @@
         """What a proxy is told, as an operator's file."""
         script, proxies = self.script, self.script.proxies
         kind = script.gateways[0]
+        own = next((item for item in script.instance if item.on == name), None)
         return operator.File(
             name=name, listen=self.world.proxy_address(name), listener=script.listener,
             discovery=agent.host.address(), desk=script.desk, zone=script.zones, own_zone=zone,
@@ -140,7 +141,8 @@
             peers=self.world.peers_table(name, proxy_names(script), proxies,
                                          next((item for item in script.odd if item.on == name), None))
             if proxies.peers and self.world.name == "processes" else None,
-            limits=operator.Limits(sockets=proxies.sockets, memory_mb=proxies.memory_mb, dials=proxies.dials,
+            limits=operator.Limits(sockets=own and own.sockets or proxies.sockets, dials=proxies.dials,
+                                   memory_mb=own and own.memory_mb or proxies.memory_mb,
                                    connect_ms=proxies.connect_ms, longest_wait_ms=proxies.longest_wait_ms),
             fleet=operator.Fleet(
                 proxies=proxies.meant or proxies.count, weights=proxies.weights, drain_grace_ms=script.rules.drain_grace_ms,
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -28,13 +28,11 @@
 PR_SET_PDEATHSIG = 1
 
 
-def dies_with_the_lab(sockets=None, memory_mb=None):
+def dies_with_the_lab(sockets=None):
     """Called in the child before the program starts."""
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     if sockets:
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
-    if memory_mb:
-        resource.setrlimit(resource.RLIMIT_AS, (memory_mb * 2 ** 20,) * 2)
 
 
 def toml(values, path=""):
@@ -80,12 +78,12 @@
         self.starts += 1
         self.write()
         self.paused = False
-        sockets, memory = self.values["limits"]["sockets"] + SPARE_FILES + 16, self.world.memory.get(self.name)
+        sockets = self.values["limits"]["sockets"] + SPARE_FILES + 16
         with open(os.path.join(self.folder, f"errors.{self.starts}"), "wb") as errors:
             self.process = subprocess.Popen(
                 [sys.executable, *self.program, "daemon", self.path], stdout=subprocess.PIPE, stderr=errors,
                 env={**os.environ, "TMPDIR": self.folder},
-                preexec_fn=lambda: dies_with_the_lab(sockets, memory))
+                preexec_fn=lambda: dies_with_the_lab(sockets))
         os.set_blocking(self.process.stdout.fileno(), False)
         self.world.loop.add_reader(self.process.stdout.fileno(), self.read, self.process)
         self.world.await_listening(self, self.starts)
@@ -208,7 +206,6 @@
         self.program = started or ProcessSeat.program
         self.seed = seed
         self.key = self.key_file("key")
-        self.memory = {}
         self.starved_core = min(os.sched_getaffinity(0))
         self.peers = {}         # name -> (private, public)
 
--- a/wheathill/lab/worlds/tap.py
+++ b/wheathill/lab/worlds/tap.py
@@ -44,7 +44,9 @@
     # From the wire
 
     def connected(self):
-        self.machine.connected()
+        # On sockets it may have been given up while it came up.
+        if not self.dead:
+            self.machine.connected()
 
     def received(self, data):
         if self.dead:
