Lists: a version counts once all of it is in force; unanswered watches are asked beside

Seen on, by tests that fail there: - indented lists ended the watch (discovery.take cut at each newline); - an entry that can't be read was passed over while the version moved on, a drain in it lost for good; a whole list with one was taken as changes; an exception in on_list left the version noted (told.listed noted `seen` first); - a body with Content-Length on a kept connection was found over after 3.5 s of silence only; - a watch asked while discovery is down and never answered was replaced after 3.75 s, past a grace of 0.5 s; bytes without a whole line kept a stalled one alive; a watch that ended was opened again 250 ms later, however long it had lasted; - an older whole list at a new address brought drained servers back; - who came before the first list was dialled by the known one; - a line was sent in the turn in which the list lay unread (turn 3 of a dial), and to the old address of a server that came back under its name within one list (turns 0 to 3). Ruled out by tests: a reload between a watch's end and its alarm, an answer cut cleanly in the middle, two watches that answer in one turn, gone and back in two lists (another Server object).

Change: objects are cut by their braces; the version is noted last, and not past an entry that could not be read, which is asked for again ever more seldom; a second watch is asked beside an unanswered one every half of the drain's grace; who was told to leave under a newer version does not come back by an older list unless started since; a session waits for the first list, a quarter of its time at most; a dial holds its address, and is sent once what lies unread of the list was read.

--- a/tests/drive.py
+++ b/tests/drive.py
@@ -369,6 +369,7 @@
 if __name__ == "__main__":
     sys.path.insert(0, str(pathlib.Path(__file__).parent))
     for module in ("test_policy", "test_net", "test_proxy", "test_lab", "test_worlds", "test_members", "test_store",
-                   "test_journal", "test_operations"):
+                   "test_journal", "test_operations", "test_rare_lists",
+                   "test_rare_dials", "test_rare_stops"):
         for scenario, run in importlib.import_module(module).SCENARIOS.items():
             (TRACES / f"{scenario}.txt").write_text("\n".join(run()) + "\n")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,8 @@
 
     open = full = False
     drained = True
-    ready = False
+    ready = list_unread = False
+    unread = False
 
     def __init__(self, name="", lines=None):
         self.name = name
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -178,7 +178,8 @@
     list_line: int = 4 * 2 ** 20        # one line of a watch
     list_wait: float = 1000.0           # for discovery's first answer, before the known list has to do
     list_silence: float = 3500.0        # a watch that says nothing for so long is opened again
-    list_retry: float = 250.0
+    list_retry: float = 250.0           # between two that were asked, at the least
+    list_again: float = 250.0           # until another is asked beside one that has not answered
     unanswered: float = 500.0           # a line without an answer is reported from then on
     half_line: float = 5000.0           # an unfinished line is waited for no longer
     sweep: float = 125.0
@@ -305,6 +306,8 @@
         raise Misconfigured("settings.listeners: names none")
     balancer = {**balancer_settings(settings), "tells_late": True}     # a proxy on sockets measures them
     sockets = allowed.count("sockets", 1024, least=64)
+    # Nothing new may go to a server that leaves once the grace is over: what asks for the list must be well within it.
+    list_again = min(Limits.list_wait, max(100.0, balancer["drain_grace"] / 2))
     where = {key: None if top.values.get(key) is False and key == "discovery" else
              address(top.text(key, instead.get(key)), key) for key in ("listen", "discovery")}
     admin = top.text("admin_addr", instead.get("admin_addr") or "")
@@ -317,7 +320,9 @@
         state=instead.get("state") if admin or instead.get("fd") else None,
         limits=Limits(sockets=sockets, spare_sockets=spare,
                       **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
-                      connect=settings.part("limits").ms("connectTimeoutS", 1000.0),
+                      list_again=list_again, list_retry=min(Limits.list_retry, list_again),
+                      # None is stated by 0 as well: no connection would ever come up in it.
+                      connect=settings.part("limits").ms("connectTimeoutS", 1000.0) or 1000.0,
                       longest_dial=max(listener.dial_timeout for listener in listeners),
                       idle=settings.part("limits").ms("idleCloseS", 30_000.0)),
         known=top.part("known").values, listeners=listeners,
--- a/wheathill/lab/judging/mutants.py
+++ b/wheathill/lab/judging/mutants.py
@@ -39,15 +39,16 @@
         other = next((each for each in self.balancer.roster.servers if each is not server), None)
         if other is not None:
             second = Dialled(client, other, self, self.limits, self.clock)
-            second.over = True
-            second.start(self.carrier.connect(second, self.addresses[other]), time_out, self.limits.connect)
+            second.tell_over = lambda outcome: None
+            second.address = self.addresses[other]
+            second.start(self.carrier.connect(second, second.address), time_out, self.limits.connect)
 
 
 class DialsDrained(Proxy):
     """Takes a server that drains for a ready one."""
 
-    def entry(self, host):
-        server, phase, *rest = super().entry(host)
+    def entry(self, *args):
+        server, phase, *rest = super().entry(*args)
         return server, Phase.READY if phase is Phase.DRAINING else phase, *rest
 
 
@@ -65,9 +66,9 @@
         super().__init__(*args)
         self.number = count(1)
 
-    def opened(self, client):
+    def opened(self, client, came=None):
         if next(self.number) % 40:
-            super().opened(client)
+            super().opened(client, came)
 
 
 class CutsOff(Proxy):
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -42,19 +42,25 @@
         return len(self.silent) < self.limits.sockets // 6 and \
             self.carrier.free >= -self.limits.spare_sockets / 2
 
-    def opened(self, client):
+    def opened(self, client, came=None):
+        """`came`: when its line did, where that was a while ago."""
         self.silent.pop(client, None)
         head, now = client.head, self.now()
+        came = now - self.waited(client) if came is None else came
         listener = self.listeners.get(head.values.get("c"))
         if listener is None:
             raise Malformed("c names no listener")
         client.listener = listener
-        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout) - self.waited(client)
+        left = min(head.number("d", listener.dial_timeout), listener.dial_timeout) - (now - came)
         if left < -self.limits.too_late:
             return self.give_up(client)
         tenant = head.values.get("t")
         if tenant is not None and self.tenants and tenant not in self.tenants:
             raise Malformed("t names no tenant")
+        if self.early is not None:
+            # What discovery's agent knows counts as told from the first moment, and the known list may be old.
+            self.early[client] = came
+            return client.set_timer(left / 4, client.wire.guard, self.let_in, client)
         sess = Session(listener=listener, key=head.key, deadline=now + left - self.limits.answer_margin,
                        tenant=self.tenants.get(tenant, 0),
                        group=head.values.get("g") if self.node.groups else None,
@@ -75,6 +81,28 @@
             client.set_timer(left, self.late, client)
             self.balancer.on_session(now, sess)
 
+    def let_in(self, client):
+        """Its time does not allow to wait for the first list any longer."""
+        if self.early and client in self.early:
+            early, self.early = self.early, None
+            try:
+                self.come_in(client, early.pop(client))
+            finally:
+                self.early = early
+
+    def first_list_over(self):
+        """It has come, or is waited for no longer: who came before it is let in."""
+        early, self.early = self.early, None
+        for client, came in (early or {}).items():
+            client.timer.cancel()
+            client.wire.guard(self.come_in, client, came)
+
+    def come_in(self, client, came):
+        try:
+            self.opened(client, came)
+        except Malformed as wrong:
+            self.bad_client(client, str(wrong))
+
     def waited(self, client):
         """How long its line has lain here unread, which is nothing but where this process stood still."""
         self.stood_still(self.now())
@@ -138,6 +166,8 @@
 
     def hung_up(self, client):
         self.silent.pop(client, None)
+        if self.early:
+            self.early.pop(client, None)
         sess = client.sess
         if client.dial and not client.up and not client.dial.over:
             client.dial.over = True
@@ -257,13 +287,19 @@
 
     def connect(self, client, server, time_out):
         client.dial = dial = Dialled(client, server, self, self.limits, self.clock)
-        dial.start(self.carrier.connect(dial, self.addresses[server]), time_out, self.limits.connect)
+        dial.address = self.addresses[server]
+        dial.start(self.carrier.connect(dial, dial.address), time_out, self.limits.connect)
+
+    @property
+    def list_unread(self):
+        """The list has more to tell that was not read yet: it counts as told already."""
+        return self.watch is not None and self.watch.wire.open and self.watch.wire.unread
 
     def may_send(self, dial):
         """The list may have changed while the connection was coming up."""
         sess = dial.client.sess
-        return sess not in self.clients or self.balancer.roster.may_dial(
-            self.now(), dial.server, sess.mid_flow)
+        return self.addresses.get(dial.server) == dial.address and (
+            sess not in self.clients or self.balancer.roster.may_dial(self.now(), dial.server, sess.mid_flow))
 
     def dial_sent(self, dial):
         self.figures.count("dials sent")
--- a/wheathill/net/discovery.py
+++ b/wheathill/net/discovery.py
@@ -1,13 +1,67 @@
-"""Discovery's watch: HTTP/1.1 with a chunked answer that holds one JSON object a line."""
+"""Discovery's watch: HTTP/1.1 with an answer, in chunks, of a stated length or to its end, that holds JSON objects."""
+
+import re
 
 import orjson
 
 from wheathill.net.lines import Malformed
 from wheathill.net.machine import Machine
 
+# A string that is whole, what opens or closes an object or array, or the quote of a string that is cut off.
+MARK = re.compile(rb'"[^"\\\x00-\x1f]*(?:\\.[^"\\\x00-\x1f]*)*"|[][{}"]')
+CLOSES = {b"}": b"{", b"]": b"["}
+CONTROL = re.compile(rb"[\x00-\x1f]")
+
+
+class Objects:
+    """Cuts a text into JSON objects by their braces: lists may come indented, several in a piece or one over many,
+    so that neither a line's end nor a piece's says where one ends."""
+
+    def __init__(self, longest):
+        self.longest = longest
+        self.rest = b""
+        self.open = []      # braces and brackets
+        self.seen = 0       # so far `rest` was looked at
+
+    def feed(self, data):
+        self.rest += data
+
+    def next(self):
+        """The next whole object, b"" for an empty line between two, or None. Raises Malformed."""
+        if not self.open:
+            self.rest, self.seen = self.rest.lstrip(b" \t\r"), 0
+            if self.rest.startswith(b"\n"):
+                self.rest = self.rest[1:]
+                return b""
+            if self.rest and not self.rest.startswith(b"{"):
+                raise Malformed(f"not a list: {self.rest[:20]!r}")
+        for mark in MARK.finditer(self.rest, self.seen):
+            self.seen = mark.end()
+            if mark[0] in (b"{", b"["):
+                self.open.append(mark[0])
+            elif mark[0] in CLOSES:
+                # Else one that never closes would swallow all that follow it.
+                if self.open.pop() != CLOSES[mark[0]]:
+                    raise Malformed("not a list: what closes was not open")
+                if not self.open:
+                    found, self.rest = self.rest[:self.seen], self.rest[self.seen:]
+                    return found
+            elif mark[0] == b'"':
+                # No string holds a line's end: waited for, its other quote would swallow the lists to come.
+                if CONTROL.search(self.rest, self.seen):
+                    raise Malformed("not a list: a string without end")
+                self.seen = mark.start()
+                break
+        if len(self.rest) > self.longest:
+            raise Malformed("a list too long")
+        return None
+
 
 class Watch(Machine):
-    """Asks once, then hands every line to `door`; whatever goes wrong ends it, and `door` opens another."""
+    """Asks once, then hands every object to `door`; whatever goes wrong ends it, and `door` opens another.
+
+    It lives by what it tells: a list, the empty line that is due while nothing changes, or so much of a long list
+    as the receive buffer holds. Bytes alone don't count, since a stream that trickles tells nothing."""
 
     def __init__(self, host, since, door, limits, clock):
         super().__init__(door, limits, clock)
@@ -15,24 +69,24 @@
                         f"Host: {host}\r\nAccept: application/json\r\n\r\n").encode()
         self.read = self.status
         self.chunked = False
-        self.left = 0               # bytes of the present chunk
-        self.text = b""             # of an unfinished JSON line
+        self.left = None            # bytes of the present chunk, or of the answer where it says how many
+        self.objects = Objects(limits.list_line)
+        self.untold = 0             # bytes since it last told something
+        self.answered = False
         self.left_for_good = False
 
     def start(self, wire):
         self.wire = wire
-        # Refused or not there at all: it has to be tried again soon, as the list counts as told.
-        self.set_timer(self.limits.list_wait, self.end, "silent")
+        self.quiet_from_now()
 
     def quiet_from_now(self):
+        self.untold = 0
         self.set_timer(self.limits.list_silence, self.end, "silent")
 
     def connected(self):
-        self.quiet_from_now()
         self.wire.send(self.request)
 
     def received(self, data):
-        self.quiet_from_now()
         self.lines.feed(data)
         try:
             while self.read():
@@ -55,16 +109,28 @@
         if line is None:
             return False
         name, _, value = line.partition(b":")
-        if name.strip().lower() == b"transfer-encoding" and value.strip().lower() == b"chunked":
+        name, value = name.strip().lower(), value.strip().lower()
+        if name == b"transfer-encoding" and value == b"chunked":
             self.chunked = True
+        elif name == b"content-length":
+            if not value.isdigit():
+                raise Malformed(f"an answer of {value[:20]!r} bytes")
+            self.left = int(value)
         if not line:
             self.read = self.chunk_size if self.chunked else self.plain
         return True
 
     def plain(self):
-        """A body without chunks lasts until the connection ends."""
+        """A body without chunks: as long as it says, or until the connection ends."""
         data, self.lines.rest = self.lines.rest, b""
-        self.take(data)
+        if self.left is None:
+            self.take(data)
+            return False
+        self.take(data[:self.left])
+        self.left -= len(data)
+        if self.left <= 0:
+            # The connection may stay open for another request, but this one's answer is over.
+            raise Malformed("the answer ended")
         return False
 
     def chunk_size(self):
@@ -98,15 +164,25 @@
         return line is not None
 
     def take(self, data):
-        *lines, self.text = (self.text + data).split(b"\n")
-        if len(self.text) > self.limits.list_line:
-            raise Malformed("a list too long")
-        for line in lines:
-            if line.strip() and not self.left_for_good:
-                try:
-                    self.door.listed(orjson.loads(line))
-                except ValueError as wrong:
-                    raise Malformed(f"not a list: {wrong}") from None
+        self.objects.feed(data)
+        self.untold += len(data)
+        while not self.left_for_good and (found := self.objects.next()) is not None:
+            self.tells(found)
+        if not self.left_for_good and self.untold >= self.limits.read:
+            self.quiet_from_now()
+
+    def tells(self, found):
+        self.quiet_from_now()
+        if not self.answered:
+            self.answered = True
+            self.door.watch_answered(self)
+        if not found:
+            return
+        try:
+            told = orjson.loads(found)
+        except ValueError as wrong:
+            raise Malformed(f"not a list: {wrong}") from None
+        self.door.listed(told)
 
     def ended(self):
         self.end("ended")
@@ -120,7 +196,7 @@
     def end(self, why):
         if not self.left_for_good:
             self.leave()
-            self.door.watch_over(why)
+            self.door.watch_over(self, why)
 
     def leave(self):
         """Nothing that still comes is told, and `door` opens no other for it."""
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -38,7 +38,12 @@
         self.links = {}         # Server -> ProbeLink, the longest unused first
         self.seen = 0           # version of the list
         self.watch = None
-        self.next_watch = None  # the alarm that opens it again
+        self.beside = None      # another, asked while the first has not answered
+        self.next_watch = None  # the alarm that opens it again, or one beside it
+        self.asked_at = 0.0     # when it was opened
+        self.gap = False        # an entry of the list could not be read: no version is noted
+        self.gaps = 0           # how often in a row
+        self.early = {}         # clients whose line came before the first list -> when
         self.watch_why = None   # it ended last time, and nothing came since
         self.ready = False
         self.stopping = None
@@ -56,6 +61,8 @@
         self.read_bans()
         if self.node.known and not taken:
             self.listed(self.node.known, ListKind.CACHED if self.node.discovery else ListKind.FULL)
+        if taken or not self.node.discovery:
+            self.first_list_over()
         if self.node.discovery:
             self.open_watch()
         self.clock.after(0.0 if taken else self.limits.list_wait, self.get_ready)
@@ -64,6 +71,7 @@
         self.clock.after(self.limits.figures, self.log_figures)
 
     def get_ready(self):
+        self.first_list_over()
         if not self.ready and self.stopping is None:
             self.ready = True
             self.log_event("ready", servers=len(self.servers))
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -23,6 +23,8 @@
         self.over = False
         self.rest = b""         # of an unfinished line to the client
         self.outcome = Outcome.RESET
+        self.address = None     # where it was dialled
+        self.turned = False     # away, and waits whether the server says more
 
     def start(self, wire, time_out, connect):
         self.wire = wire
@@ -30,9 +32,16 @@
         self.set_timer(min(time_out, connect), self.give_up, Outcome.CONNECT_FAILED)
 
     def connected(self):
-        if not self.door.may_send(self):
-            return self.give_up(Outcome.CONNECT_FAILED)
+        if self.over:
+            return
+        if self.door.list_unread or self.client.wire.unread:
+            # They came in one turn, or while this process stood still: that its client has left, or that the list says
+            # its server leaves, is read first.
+            return self.clock.soon(self.connected)
         left = self.until - self.clock.now()
+        # With nothing left it would be sent in vain, and might have run.
+        if left < 1.0 or not self.door.may_send(self):
+            return self.give_up(Outcome.CONNECT_FAILED)
         self.set_timer(left, self.overdue)
         self.wire.send(*self.client.head.parts(left))
         if self.wire.drained:
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -1,5 +1,7 @@
 """What a proxy is told: its configuration, the list of servers, and who is out by an operator's hand."""
 
+import math
+
 from wheathill.config import address, needs_restart
 from wheathill.model import ListKind, Outcome, Phase, Server
 from wheathill.net import bans
@@ -31,9 +33,8 @@
             self.leave_watch()
             self.listed(node.known, ListKind.FULL)
         elif node.discovery != old.discovery:
-            # Versions count at one address; asked for from the first, the new one tells the whole list.
+            # Versions count at one address; asked for from the first, the new one tells all that has changed.
             self.seen = 0
-            self.leave_watch()
             self.open_watch()
 
     # Servers out by hand
@@ -74,22 +75,58 @@
     # The list of servers
 
     def open_watch(self):
-        if self.next_watch:
-            self.next_watch.cancel()
-        self.watch = Watch(self.node.discovery[0], self.seen, self, self.limits, self.clock)
-        self.watch.start(self.carrier.connect(self.watch, self.node.discovery))
+        """Asks anew, from the version of which all took effect."""
+        self.leave_watch()
+        self.gap = False
+        self.asked_at = self.now()
+        self.watch = self.ask_list()
+        self.next_watch = self.clock.after(self.limits.list_again, self.ask_beside, self.watch)
+
+    def ask_list(self):
+        watch = Watch(self.node.discovery[0], self.seen, self, self.limits, self.clock)
+        watch.start(self.carrier.connect(watch, self.node.discovery))
+        return watch
+
+    def ask_beside(self, watch):
+        """One that was asked while discovery was out of reach may never be answered, while what is known there at its
+        return counts as told at once; a slow answer is waited for all the same. So a second one is asked beside the
+        first, again and again: whichever answers first is the watch."""
+        if watch is self.watch and not watch.answered:
+            if self.beside:
+                self.beside.leave()
+            self.beside = self.ask_list()
+            self.next_watch = self.clock.after(self.limits.list_again, self.ask_beside, watch)
+
+    def watch_answered(self, watch):
+        other = self.watch if watch is self.beside else self.beside
+        if other:
+            other.leave()
+        self.watch, self.beside = watch, None
+        self.next_watch.cancel()
 
     def leave_watch(self):
         if self.next_watch:
             self.next_watch.cancel()
-        if self.watch:
-            self.watch.leave()
+        for watch in (self.watch, self.beside):
+            if watch:
+                watch.leave()
+        self.watch = self.beside = None
 
-    def watch_over(self, why):
+    def watch_over(self, watch, why):
+        if watch is self.beside:
+            self.beside = None
+        if watch is not self.watch:
+            return
         if why != self.watch_why:
             self.log_event("watch over", why=why)
         self.watch_why = why
-        self.next_watch = self.clock.after(self.limits.list_retry, self.open_watch)
+        self.leave_watch()
+        # At once after one that had lasted: what the agent has meanwhile counts as told.
+        self.next_watch = self.clock.at(max(self.now(), self.asked_at + self.limits.list_retry), self.open_watch)
+
+    def read_again(self, watch):
+        if watch is self.watch:
+            self.open_watch()
 
     def follow_list(self, on):
         """The watch is always open: the agent is on this machine and costs nothing."""
@@ -99,26 +136,64 @@
         self.balancer.on_list(self.now(), ListKind.CHANGES, [])
 
     def listed(self, found, kind=None):
+        """The version is noted last, once all of the list is in force: asked again from it, discovery would not
+        repeat what failed here or could not be read, a drain among it."""
         if not isinstance(found, dict) or not isinstance(found.get("hosts"), list):
             return self.log_event("bad input", what="a list without hosts")
         kind = kind or (ListKind.FULL if found.get("whole") else ListKind.CHANGES)
-        entries = []
+        version = found.get("seq") if isinstance(found.get("seq"), int) else None
+        entries, moved, unread = [], [], 0
         for host in found["hosts"]:
             try:
-                entries.append(self.entry(host))
-            except (KeyError, TypeError, ValueError) as wrong:
+                entries.append(self.entry(host, version, moved))
+            except (AttributeError, KeyError, TypeError, ValueError) as wrong:
                 self.log_event("bad input", what=f"an entry of the list: {wrong!r}")
-                # Not taken for the whole list: the server that it is about would count as gone.
-                kind = ListKind.CHANGES
-        if isinstance(found.get("seq"), int):
-            self.seen = found["seq"]
+                unread += 1
+                entries += self.what_is_left(host)
+        if unread and not entries:
+            kind = ListKind.CHANGES     # nothing of it could be read: it is no list of nobody
         self.balancer.on_list(self.now(), kind, entries)
+        self.note_told(entries, kind, version)
+        for server in moved:
+            # Nothing is held against one that has another address now. Later: whoever waits for the answer is dialled.
+            if server in self.links:
+                self.links[server].end(Outcome.FULL)
         self.forget_gone()
         if kind is not ListKind.CACHED:
             if self.watch_why is not None:
                 self.log_event("watch back")
             self.watch_why = None
+            self.first_list_over()
             self.get_ready()
+        if unread and kind is not ListKind.CACHED and self.watch:
+            self.find_out(self.watch)
+        elif version is not None and not self.gap:
+            self.seen, self.gaps = version, 0
+
+    def find_out(self, watch):
+        """What could not be read is asked for again, from before it; again and again, but ever more seldom, as it
+        may never be readable. Meanwhile the watch goes on, and no version is noted."""
+        if not self.gap:
+            self.gap = True
+            again = self.limits.list_retry * 2 ** min(self.gaps, 5)
+            self.gaps += 1
+            self.clock.after(again, self.read_again, watch)
+
+    def note_told(self, entries, kind, version):
+        for server, phase, _, started in entries:
+            self.names.pop(server.name, None)
+            self.names[server.name] = None if phase is Phase.READY else (version, started)
+        if kind is ListKind.FULL:
+            for server in self.servers.values():
+                if server.phase is Phase.GONE and self.names.get(server.name) is None:
+                    self.names[server.name] = version, server.started
+        while len(self.names) > self.limits.names:
+            # Of those listed the list is the bound; the others go, unless they are out.
+            gone = next((old for old in self.names
+                         if old not in self.servers and old not in self.balancer.roster.out), None)
+            if gone is None:
+                break
+            del self.names[gone]
 
     def forget_gone(self):
         """Names may be new with every release: those that left would add up. One that comes back is new."""
@@ -139,28 +214,43 @@
             self.log_event("told by a peer", server=server.name, phase=phase.value)
             self.balancer.on_list(self.now(), ListKind.BY_HAND, [(server, phase, server.weight, started)])
 
-    def entry(self, host):
+    def entry(self, host, version, moved):
+        """Raises AttributeError, KeyError, TypeError or ValueError, with nothing changed, where it can't be read."""
         name, phase, born = host["host"], PHASES[host["health"]], float(host.get("born_ms") or 0)
         weight = float(host.get("share") or 1.0)
         cell = int(host.get("block") or 0)
-        server = self.servers.get(name) or Server(str(name))
-        if host.get("dial"):
-            where = address(host["dial"], "dial")
-            if self.addresses.get(server, where) != where and server in self.links:
-                self.links[server].end(Outcome.RESET)
-            self.addresses[server] = where
-        elif phase is not Phase.GONE:
+        if not isinstance(name, str) or not name or not math.isfinite(born + weight):
+            raise ValueError("no name, or figures that are none")
+        server = self.servers.get(name) or Server(name)
+        where = address(host["dial"], "dial") if host.get("dial") else self.addresses.get(server)
+        if where is None and phase is not Phase.GONE:
             raise ValueError("no address")
-        if host.get("site") is not None:
-            server.zone, server.cell = self.zones.get(host["site"], -1), cell
         if self.peers:
             phase, born = self.peers.on_entry(name, phase, born)
+        started = self.clock.from_wall(born) if born else None
+        left, since = self.names.get(name) or (None, None)
+        if phase is Phase.READY and None not in (left, version) and version < left \
+                and (started or -math.inf) <= (since or -math.inf):
+            # An agent that is behind, at a new address or after a restart: what a newer list told to leave does not
+            # come back by an older one, unless it has started since.
+            self.log_event("older list", server=name, version=version, newer=left)
+            phase, started = server.listed if name in self.servers else Phase.GONE, since
+        if where is not None:
+            if self.addresses.get(server, where) != where:
+                moved.append(server)
+            self.addresses[server] = where
+        if host.get("site") is not None:
+            server.zone, server.cell = self.zones.get(host["site"], -1), cell
         self.servers[name] = server
-        self.names.pop(name, None)
-        self.names[name] = None
-        if len(self.names) > self.limits.names:
-            # Of those listed the list is the bound; the others go, unless they are out.
-            gone = next((old for old in self.names
-                         if old not in self.servers and old not in self.balancer.roster.out), None)
-            self.names.pop(gone, None)
-        return server, phase, weight, self.clock.from_wall(born) if born else None
+        return server, phase, weight, started
+
+    def what_is_left(self, host):
+        """Of an entry that can't be read: the known server that it is about, as it was, but that it leaves where that
+        much is said."""
+        name = host.get("host") if isinstance(host, dict) else None
+        server = self.servers.get(name) if isinstance(name, str) else None
+        if server is None:
+            return []
+        phase = host.get("health")
+        leaves = isinstance(phase, str) and PHASES.get(phase, Phase.READY) is not Phase.READY
+        return [(server, PHASES[phase] if leaves else server.listed, server.weight, server.started)]
