Stop: its end follows who is on the way in and the bytes that are on the way out

Seen on, each by a test over loopback sockets that fails there (tests/test_rare_stops.py): - a line in the listening socket's backlog, met in the turn in which the stop ended: taken, dialled, cut off 150 ms later (proxy.wait_for_end looked at `clients` only); the same for who was let in and had sent no line yet; - who came 0.75 s after SIGTERM with a second of its own was cut off without an answer at the last round; - with a longest dial timeout of 0.2 s the first round came at 0.8 s and the end at 0.95 s, past the kill at 0.9 s; - MOVE behind lines that a slow reader had not taken was lost: `stop_linger` ended the loop after 150 ms, and `Wire.part` aborts 1 s after its end whatever is unsent. Ruled out by tests: SIGTERM twice and before ready, SIGHUP after it, PING and newcomers at that time; a half line of a server at the last round is waited for until then, as before.

Change: the stop ends once no session is here or on its way in (accepted, silent but for those that only PING, in the backlog), everybody else has a final answer at the last round, refused where nothing may have run, and the peers have taken what was said, at most until the kill may come. The first round fits the dial timeouts, which are taken once, as SIGTERM comes. What lingers lingers on while its peer reads.

--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -186,7 +186,9 @@
     newcomers: float = 800.0            # after the order to stop, clients still come for so long
     stop_margin: float = 400.0          # beyond the longest dial, for a proxy that stops
     stop_hold: float = 30_000.0         # the longest that one through which packets pass goes on
-    stop_linger: float = 150.0
+    stop_linger: float = 150.0          # for the peers' ends once all is said
+    see_off: float = 10.0               # how often that is looked at
+    second_answer: float = 30.0         # whether more follows on BUSY, where another dial hangs on it
     log_lines: int = 4000               # held for a reader that does not read
     figures: float = 10_000.0           # how often counts are logged
     calls: int = 8                      # of operators at a time, beside the spare descriptors
--- a/wheathill/lab/worlds/beside.py
+++ b/wheathill/lab/worlds/beside.py
@@ -42,6 +42,8 @@
         self.on = True
         held.views.append(self)
 
+    waiting = False     # whoever waits is the other process's as well
+
     @property
     def accepts(self):
         return self.on and self.carrier.host.alive and not self.carrier.host.paused
--- a/wheathill/lab/worlds/network.py
+++ b/wheathill/lab/worlds/network.py
@@ -87,6 +87,10 @@
         self.host.doors[address] = self
         self.host.net.doors[address] = self
 
+    @property
+    def waiting(self):
+        return bool(self.backlog)
+
     def came(self, wire):
         self.backlog.append(wire)
         self.look()
@@ -125,6 +129,7 @@
         self.limits = limits
         self.log = log
         self.sockets = 0
+        self.parting = {}
 
     @property
     def free(self):
@@ -476,6 +481,7 @@
             return
         if self.carrier.free < self.carrier.limits.spare_sockets:
             return self.close()
+        self.carrier.parting[self] = None
         self.host.clock.after(self.carrier.limits.linger, self.close)
 
     def abort(self, reset=False):
@@ -505,6 +511,7 @@
         self.inbox.clear()
         self.unsent.clear()
         self.host.wires.pop(self, None)
+        self.carrier.parting.pop(self, None)
         self.count(False)
 
     def reset_peer(self):
@@ -550,6 +557,10 @@
     def unread(self):
         return bool(self.inbox)
 
+    @property
+    def to_send(self):
+        return sum(len(data) for data in self.unsent if data)
+
     @property
     def drained(self):
         return not self.gone and not self.unsent
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -7,6 +7,7 @@
 from wheathill.net.client import Client
 from wheathill.net.lines import Head, Malformed, report
 from wheathill.net.server import Dialled, ProbeLink
+from wheathill.policy import may_refuse
 
 
 def busy(come_back_after):
@@ -69,7 +70,7 @@
         self.note_id(head, sess)
         if self.carrier.free <= 0:
             self.figures.count("no sockets")
-            self.answer(client, busy(min(listener.handshake_target, self.node.balancer["longest_wait"])))
+            self.answer(client, self.come_back(listener))
         elif "at" in head.values:
             client.sess = sess
             sess.deadline = now + self.limits.standing
@@ -138,12 +139,30 @@
         behind = now - client.sess.deadline - self.limits.answer_margin if client.sess else 0.0
         self.log_event("late" if behind >= self.limits.sweep or now < self.old_until else "fault", where="decisions",
                        what="no answer in time", behind=round(behind))
-        self.hung_up(client)
         if behind < self.limits.too_late:
-            self.answer(client, b"ERR")
+            self.answer_alone(client)
         else:
+            self.hung_up(client)
             self.give_up(client)
 
+    def answer_alone(self, client):
+        """The final answer without the decisions, where a fault or the end of this process leaves them no time. What
+        is known not to have run is refused: failed would say that it may have."""
+        sess, dial = client.sess, client.dial
+        if sess is not None and sess.dials and dial and not dial.over and not dial.sent:
+            sess.dials[-1].may_have_run = False
+        refused = sess is not None and may_refuse(sess)
+        self.hung_up(client)
+        self.answer(client, self.come_back(client.listener) if refused else b"ERR")
+
+    def answer_all(self):
+        for client in list(self.clients.values()):
+            if not client.up:
+                self.answer_alone(client)
+
+    def come_back(self, listener):
+        return busy(min(listener.handshake_target, self.node.balancer["longest_wait"]))
+
     def answer(self, client, line):
         """A session's final answer where it isn't UP: the one place where it is given, and counted for the
         listener that it named."""
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -130,4 +130,5 @@
         if self.up:
             self.wire.abort(reset=True)
         else:
-            self.door.answer(self, b"ERR")
+            self.timer.cancel()
+            self.door.answer_alone(self)
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -2,10 +2,13 @@
 
 import array
 import asyncio
+import fcntl
+import math
 import os
 import select
 import socket
 import struct
+import termios
 from collections import deque
 
 
@@ -19,6 +22,7 @@
         # One is enough: a machine has consumed what came before the next read begins.
         self.buffer = memoryview(bytearray(limits.read))
         self.sockets = 0
+        self.parting = {}       # wires that their machines are done with, until they are closed
         self.lent = 0           # held by the process that this one takes over from
 
     @property
@@ -81,6 +85,13 @@
     return sock
 
 
+def readable(sock):
+    """Whether something waits there, by the system's word."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Door:
     """A listening socket. Accepts a few at a time, so that their lines are read before the next ones hold a
     descriptor: asyncio's own servers take the whole backlog at once. What can't be taken waits there."""
@@ -91,6 +102,8 @@
         self.room = room
         self.sock = sock
         self.later = None
+        self.held = self.paused = False     # paused: only for a moment
+        self.coming = {}        # wires that were accepted and have not told their machines yet
         self.hold(False)
 
     def hold(self, on):
@@ -98,6 +111,7 @@
         if self.sock.fileno() < 0:
             return
         loop = self.carrier.loop
+        self.held, self.paused = on, False
         if self.later:
             self.later.cancel()
         if on:
@@ -122,10 +136,19 @@
                 return self.pause()
             wire = Wire(self.carrier, self.make_machine)
             wire.count(True)
+            self.coming[wire] = None
             wire.task = self.carrier.loop.create_task(wire.take(taken))
+            wire.task.add_done_callback(lambda _, wire=wire: self.coming.pop(wire))
+
+    @property
+    def waiting(self):
+        """Whether somebody is on the way in: accepted, or yet to be accepted here."""
+        return bool(self.coming) or self.sock.fileno() >= 0 and (not self.held or self.paused) \
+            and readable(self.sock)
 
     def pause(self):
         self.hold(True)
+        self.paused = True
         self.later = self.carrier.loop.call_later(self.carrier.limits.accept_pause / 1000, self.hold, False)
 
 
@@ -275,6 +298,7 @@
         self.guard(self.machine.blocked, False)
 
     def connection_lost(self, wrong):
+        self.carrier.parting.pop(self, None)
         self.count(False)
         self.tell_lost(wrong is not None)
 
@@ -315,9 +339,18 @@
 
     @property
     def unread(self):
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
+        return readable(self.transport.get_extra_info("socket"))
+
+    @property
+    def to_send(self):
+        """Bytes that wait for the peer to read, as long as any of them have not been taken over by the system, which
+        goes on sending those that were."""
+        held = self.transport.get_write_buffer_size() if self.transport else 0
+        try:
+            return held and held + struct.unpack("i", fcntl.ioctl(
+                self.transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+        except OSError:
+            return held
 
     @property
     def drained(self):
@@ -354,7 +387,16 @@
         self.parted = True
         if self.carrier.free < self.carrier.limits.spare_sockets:
             return self.transport.close()
-        self.carrier.loop.call_later(self.carrier.limits.linger / 1000, self.transport.abort)
+        self.carrier.parting[self] = None
+        self.linger(math.inf)
+
+    def linger(self, before):
+        """For the peer's end, or while it reads what waits for it here: a slow reader is not cut off."""
+        unsent = self.to_send
+        if before is math.inf or 0 < unsent < before:
+            self.carrier.loop.call_later(self.carrier.limits.linger / 1000, self.linger, unsent)
+        else:
+            self.transport.abort()
 
     def abort(self, reset=False):
         if self.over:
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -46,7 +46,8 @@
         self.early = {}         # clients whose line came before the first list -> when
         self.watch_why = None   # it ended last time, and nothing came since
         self.ready = False
-        self.stopping = None
+        self.stopping = None    # since when
+        self.stop_last = 0.0    # when those that are left are sent away
         self.bad_since = self.bad_logged = 0
         self.balancer = decisions(self, random.Random(node.seed), **node.balancer)
 
@@ -81,31 +82,49 @@
         if self.stopping is None:
             self.stopping = self.now()
             self.ready = False
+            # Where packets pass through, what is open goes on at other proxies once this one is killed, but
+            # breaks if it ends by itself: all its clients then came back at once, and were refused.
+            # Settled now: a configuration that comes later may shorten the dial timeouts of who is in already.
+            most = self.limits.longest_dial + self.limits.stop_margin if self.node.moves_at_stop \
+                else self.limits.stop_hold
+            self.stop_last = self.stopping + most
             self.log_event("stopping", sessions=len(self.clients))
             if self.node.listen_fd is not None and self.door:
                 # Others listen on the same socket: whoever waits there is theirs.
                 self.door.close()
-            self.clock.after(self.limits.sweep if self.handed_over else self.limits.newcomers,
-                             self.wait_for_end, stopped)
+            self.clock.after(self.limits.sweep if self.handed_over
+                             else min(self.limits.newcomers, most - self.limits.sweep), self.wait_for_end, stopped)
             if not self.handed_over:
                 self.balancer.on_stop(self.stopping, False)
 
     def wait_for_end(self, stopped):
         now = self.now()
-        # Where packets pass through, what is open goes on at other proxies once this one is killed, but
-        # breaks if it ends by itself: all its clients then came back at once, and were refused.
-        most = self.limits.longest_dial + self.limits.stop_margin if self.node.moves_at_stop \
-            else self.limits.stop_hold
-        last = now >= self.stopping + most
+        last = now >= self.stop_last
         if last or not self.handed_over:
             self.balancer.on_stop(now, last)
-        # Who is let in and has said nothing yet is still served here, by one that was taken over from too.
-        if last or not self.clients and not (self.handed_over and self.silent):
+        if last:
+            self.answer_all()
+        if last or not self.expected():
             self.log_event("stopped", sessions=len(self.clients), since_start=self.figures.since_start())
-            # The last MOVE lines are on their way: an end too soon would overtake them.
-            self.clock.after(self.limits.stop_linger, stopped)
+            self.see_off(stopped, now + self.limits.stop_linger)
         else:
-            self.clock.after(self.limits.sweep, self.wait_for_end, stopped)
+            self.clock.after(min(self.limits.sweep, self.stop_last - now), self.wait_for_end, stopped)
+
+    def expected(self):
+        """Whether a session is here or may be: of who was let in, or waits to be, a line may have come that was not
+        read. Who has sent PING only looks whether this proxy is there. One that was taken over from waits for them all."""
+        return bool(self.clients or self.early or self.door and self.door.waiting
+                    or any(self.handed_over or not client.pings or client.wire.unread for client in self.silent))
+
+    def see_off(self, stopped, until):
+        """The last answers and MOVE lines are on their way: the end follows them, as closing with bytes unread or
+        unsent would cut them off, but not later than the time in which this proxy may be killed."""
+        now, parting = self.now(), list(self.carrier.parting)
+        if parting and (now < until or now < self.stop_last + self.limits.stop_linger
+                        and any(wire.to_send for wire in parting)):
+            self.clock.after(self.limits.see_off, self.see_off, stopped, until)
+        else:
+            stopped()
 
     def log_figures(self):
         self.clock.after(self.limits.figures, self.log_figures)
