--- /dev/null
+++ b/tests/test_rare_dials.py
@@ -0,0 +1,294 @@
+"""Moments at which a dial crosses with its client's leaving, with its time's end or with what its server says; and those at
+which a connection is closed."""
+
+import json
+import time
+
+import pytest
+
+from drive import kept, listener
+from turns import Turns, blocked, read_slowly
+
+
+def leave(client, how):
+    if how == "by RST":
+        client.reset()
+    else:
+        client.finish()
+
+
+@pytest.mark.parametrize("how", ("by FIN", "by RST"))
+@pytest.mark.parametrize("turn", range(6))
+def test_who_leaves_before_the_line_left_is_not_sent_on(how, turn):
+    """After any number of turns since its line was read: while it is dialled, as the connection comes up."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        turns.until(lambda: turns.proxy.clients)
+        turns.turn(turn)
+        was_sent = turns.sent()
+        leave(client, how)
+        time.sleep(0.02)
+        turns.for_ms(30)
+        assert was_sent == turns.sent() and not turns.proxy.clients
+        # What was sent keeps its effect, and nothing else goes out.
+        server = turns.taken() if turns.dialled() else None
+        assert (server is not None and turns.hears(server).startswith("OPEN")) == was_sent
+        assert not turns.dialled()
+
+
+def left_with_its_line_unread():
+    """Line and end lie unread together, as where this process stood still."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        for how in ("by FIN", "by RST", "half a line"):
+            client = turns.client() if how == "half a line" else turns.open(how.replace(" ", "-"))
+            if how == "half a line":
+                client.say("OPEN id k c=any", end="")
+            leave(client, how)
+        time.sleep(0.35)
+        turns.for_ms(50)
+        turns.lines.append(f"sent on: {turns.sent()}")
+        return turns.lines
+
+
+def left_in_the_turn_of_up():
+    """UP and the client's end are read in one turn: it was sent, and nothing is dialled again."""
+    with Turns(repeat="fragile") as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        server.say("UP r1")
+        client.finish()
+        time.sleep(0.02)
+        turns.for_ms(30)
+        turns.hears(server)
+        turns.lines.append(f"dialled again: {turns.dialled()}, held {len(turns.proxy.clients)}")
+        return turns.lines
+
+
+def left_between_two_dials():
+    """BUSY and the client's end in one turn: no second dial is sent."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        server.say("BUSY")
+        client.finish()
+        time.sleep(0.02)
+        turns.for_ms(50)
+        sent = turns.dialled() and bool(turns.hears(turns.taken()).startswith("OPEN"))
+        turns.lines.append(f"sent again: {sent}")
+        return turns.lines
+
+
+def left_while_a_probe_is_awaited():
+    report = {"how": "on_probe", "names": ["x0"]}
+    with Turns(settings={"report": report, "limits": {"maxDials": 3, "mayProbe": True}}) as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        link = turns.taken()
+        turns.hears(link)
+        client.finish()
+        link.say("PONG x0=0.1")
+        time.sleep(0.02)
+        turns.for_ms(50)
+        turns.lines.append(f"dialled: {turns.dialled()}")
+        return turns.lines
+
+
+def busy_and_more(together):
+    """BUSY says that it never ran, what follows that it did: a once-only session is not sent again."""
+    with Turns(repeat="fragile") as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        server.say("BUSY\r\nUP r1" if together else "BUSY")
+        if not together:
+            turns.for_ms(8)
+            server.say("UP r1")
+        turns.hears(client)
+        turns.for_ms(20)
+        turns.lines.append(f"sent again: {turns.dialled()}")
+        return turns.lines
+
+
+def busy_and_up_in_one_read():
+    return busy_and_more(True)
+
+
+def busy_and_up_soon_after():
+    return busy_and_more(False)
+
+
+def busy_alone():
+    """With nothing after it, or the connection's end, BUSY counts: another server is dialled."""
+    with Turns(("a", "b", "c"), repeat="fragile") as turns:
+        turns.watched("a", "b", "c")
+        client = turns.open()
+        for ends in (True, False):
+            server = turns.taken()
+            turns.hears(server)
+            server.say("BUSY")
+            if ends:
+                server.finish()
+            began = time.monotonic()
+            turns.until(turns.dialled)
+            spent = time.monotonic() - began
+            turns.lines.append(f"dialled elsewhere {'at once' if ends else 'in a moment'}: "
+                               f"{spent < 0.025 if ends else spent < 0.2}")
+        server = turns.taken()
+        turns.hears(server)
+        server.say("UP r1")
+        turns.hears(client)
+        return turns.lines
+
+
+def load_before_up():
+    with Turns() as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        server.say("LOAD 0.5\r\nUP r1")
+        turns.hears(client)
+        return turns.lines
+
+
+@pytest.mark.parametrize("turn", range(6))
+def test_connection_comes_up_as_the_time_ends(turn):
+    """This process stands still while it comes up: nothing is sent with nothing left, and what was never sent is
+    refused, not failed."""
+    with Turns(("a",), repeat="fragile", dial=0.2) as turns:
+        turns.watched("a")
+        client = turns.open(d=200)
+        turns.until(lambda: turns.proxy.clients)
+        turns.turn(turn)
+        was_sent = turns.sent()
+        time.sleep(0.2)
+        turns.turn(5)
+        assert turns.hears(client) == ("ERR" if was_sent else "BUSY 500")
+        assert turns.sent() == was_sent
+
+
+def fault_before_anything_was_sent():
+    """Answered without the decisions: what never left is refused, what has left may have run."""
+    with Turns(repeat="fragile") as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        turns.until(lambda: turns.proxy.clients)
+        next(iter(turns.proxy.clients.values())).fault()
+        turns.hears(client)
+        turns.for_ms(30)
+        client = turns.open("k2")
+        server = turns.taken()
+        while turns.hears(server) == "(end)":
+            server = turns.taken()
+        next(iter(turns.proxy.clients.values())).fault()
+        turns.hears(client)
+        return [line for line in turns.lines if "client" in line]
+
+
+def no_descriptor_for_a_dial_that_was_replaced():
+    """Told later, and of that very dial: another one is out by then."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        sess, = turns.proxy.clients
+        stale = sess.dials[-1]
+        server.say("BUSY")
+        second = turns.taken()
+        turns.hears(second)
+        turns.proxy.no_socket(sess, stale)
+        turns.for_ms(20)
+        turns.lines.append(f"a third dial: {turns.dialled()}")
+        second.say("UP r2")
+        turns.hears(client)
+        return turns.lines
+
+
+def link_closed_as_it_is_asked():
+    """A server closes the probes' link for idleness in the moment in which it is asked again: it is asked anew."""
+    report = {"how": "on_probe", "names": ["x0"]}
+    with Turns(("a",), settings={"report": report, "limits": {"maxDials": 3, "mayProbe": True}}) as turns:
+        turns.watched("a")
+        server = turns.proxy.servers["a"]
+        for ends in ("finish", "reset"):
+            turns.proxy.probe(server)
+            link = turns.taken()
+            turns.hears(link)
+            link.say("PONG x0=0.2")
+            turns.until(lambda: not turns.proxy.links[server].asked)
+            server.probed = turns.proxy.now()
+            turns.proxy.probe(server)
+            getattr(link, ends)()
+            again = turns.taken()
+            turns.hears(again)
+            turns.lines.append(f"held against the server: {server.silent}")
+            again.say("PONG x0=0.3")
+            turns.until(lambda: server.probed is None)
+            turns.lines.append(f"answered: {server.samples[-1][1]}")
+            turns.proxy.links[server].end(None)
+            again.finish()
+        # One that never answered is another thing.
+        turns.proxy.probe(server)
+        turns.taken().finish()
+        turns.until(lambda: server.silent)
+        turns.lines.append(f"closed without an answer: {server.silent}")
+        return turns.lines
+
+
+def probed_server_moves():
+    """An ask that is out when its server gets another address tells nothing of it, and frees who waits for it."""
+    report = {"how": "on_probe", "names": ["x0"]}
+    with Turns(("a",), settings={"report": report, "limits": {"maxDials": 3, "mayProbe": True}}) as turns:
+        watch = turns.watched("a")
+        client = turns.open()
+        turns.hears(turns.taken())
+        turns.servers["a"].close()
+        turns.servers["a"] = listener()
+        turns.chunk(watch, json.dumps(turns.list("a", whole=False)) + "\n")
+        turns.hears(turns.taken())
+        turns.lines.append(f"held against it: {turns.proxy.servers['a'].silent}")
+        del client
+        return turns.lines
+
+
+def more_open_than_ids_are_kept():
+    """Every id that is kept is of an open session: the newest one was forgotten, and a thief of it served."""
+    with Turns(limits={"ids": 2}) as turns:
+        turns.watched("a", "b")
+        held = [turns.open(f"k{number}") for number in range(5)]
+        turns.until(lambda: len(turns.proxy.clients) == 5)
+        turns.lines.append(f"known: {sorted(turns.proxy.ids)}")
+        thief = turns.open("k4", name="thief")
+        turns.hears(thief)
+        del held
+        return turns.lines
+
+
+def move_behind_unread_lines():
+    """The client reads on, slowly, for longer than an end is waited for: it gets all, and MOVE."""
+    with Turns(limits={"linger": 150.0}) as turns:
+        client = blocked(turns)
+        turns.proxy.move(next(iter(turns.proxy.clients)))
+        got, spent = read_slowly(turns, client, 20, 131_072)
+        turns.lines.append(f"last come {got[-9:]}, longer than it lingers: {spent > 300}")
+        return turns.lines
+
+
+SCENARIOS = {run.__name__: run for run in (
+    left_with_its_line_unread, left_in_the_turn_of_up, left_between_two_dials,
+    left_while_a_probe_is_awaited, busy_and_up_in_one_read, busy_and_up_soon_after, busy_alone,
+    load_before_up, fault_before_anything_was_sent, no_descriptor_for_a_dial_that_was_replaced,
+    link_closed_as_it_is_asked, probed_server_moves, more_open_than_ids_are_kept, move_behind_unread_lines)}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_trace(name):
+    assert kept(name, SCENARIOS[name]())
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -47,7 +47,7 @@
 
     def number(self, key, default, least=0.0, most=math.inf):
         value = self.get(key, default, (int, float), "a number")
-        if not least <= value <= most:
+        if not least <= value <= most or math.isinf(value):
             raise Misconfigured(f"{self.at(key)}: {value} is not within {least:g} and {most:g}")
         return value
 
@@ -326,7 +326,7 @@
                       # None is stated by 0 as well: no connection would ever come up in it.
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0) or 1000.0,
                       longest_dial=max(listener.dial_timeout for listener in listeners),
-                      idle=settings.part("limits").ms("idleCloseS", 30_000.0)),
+                      idle=settings.part("limits").ms("idleCloseS", 30_000.0) or 30_000.0),
         known=top.part("known").values, listeners=listeners,
         tenants=[item.text("name", "") for item in settings.parts("tenants")],
         zones=settings.texts("dcs"), groups=settings.part("familyInfo").flag("groups"),
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -125,10 +125,11 @@
         if head.id in self.ids and not sess.mid_flow and "at" not in head.values:
             raise Malformed("the id of another session")
         self.ids[head.id] = sess
-        while len(self.ids) > self.limits.ids:
+        # Those that are open stay, and may be more than the limit: so many looks, and no more.
+        for _ in range(2 * (len(self.ids) - self.limits.ids)):
             oldest = next(iter(self.ids))
             held = self.ids.pop(oldest)
-            if held in self.clients:
+            if held is sess or held in self.clients:
                 self.ids[oldest] = held
 
     def late(self, client):
@@ -315,7 +316,8 @@
         return self.watch is not None and self.watch.wire.open and self.watch.wire.unread
 
     def may_send(self, dial):
-        """The list may have changed while the connection was coming up."""
+        """The list may have changed while the connection was coming up: who answers at the old address of a server
+        that came back elsewhere is not the one that was meant."""
         sess = dial.client.sess
         return self.addresses.get(dial.server) == dial.address and (
             sess not in self.clients or self.balancer.roster.may_dial(self.now(), dial.server, sess.mid_flow))
@@ -340,7 +342,8 @@
 
     def dial_over(self, dial, outcome):
         client, now = dial.client, self.now()
-        sess = client.sess
+        # Of the dial that holds its client's place: one that was replaced is over for nobody.
+        sess = client.sess if client.dial is dial else None
         if not dial.up:
             self.figures.count("dial: " + outcome.value)
             self.log_event("dial failed", server=dial.server.name, outcome=outcome.value,
@@ -375,12 +378,13 @@
         if len(sess.dials) > 1:
             self.figures.count("further dials")
         if self.carrier.free <= -self.limits.spare_sockets / 2:
-            self.clock.soon(self.no_socket, sess)
+            self.clock.soon(self.no_socket, sess, sess.dials[-1])
         else:
             self.connect(client, server, time_out)
 
-    def no_socket(self, sess):
-        if sess in self.clients:
+    def no_socket(self, sess, dial):
+        """Of that very dial: another one may be out by now."""
+        if sess in self.clients and sess.dials[-1] is dial:
             self.balancer.on_outcome(self.now(), sess, Outcome.CONNECT_FAILED, False)
 
     def refuse(self, sess, come_back_after):
@@ -422,10 +426,23 @@
         if link is None:
             if len(self.links) >= self.limits.probe_links:
                 self.close_link()
-            link = ProbeLink(server, self, self.limits, self.clock)
-            link.wire = self.carrier.connect(link, self.addresses[server])
+            link = self.new_link(server)
         self.links[server] = link
-        link.ask()
+        link.ask(self.now() + self.limits.probe)
+
+    def new_link(self, server):
+        link = ProbeLink(server, self, self.limits, self.clock)
+        link.wire = self.carrier.connect(link, self.addresses[server])
+        return link
+
+    def probe_again(self, server, until):
+        """Its link was closed for idleness in the moment in which it was asked, which tells nothing of the server."""
+        if server in self.addresses:
+            self.figures.count("probes")
+            link = self.links[server] = self.new_link(server)
+            link.ask(until)
+        else:
+            self.balancer.on_probed(self.now(), server, Outcome.RESET, None)
 
     def close_link(self):
         for link in list(self.links.values()):
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -1,5 +1,6 @@
 """A client's connection: its first line, the wait for an answer, then lines in both directions."""
 
+from wheathill.model import Repeat
 from wheathill.net.lines import END, Head, Malformed
 from wheathill.net.machine import Machine
 
@@ -84,6 +85,11 @@
             self.wire.hold(False)
             self.dial.wire.hold(False)
 
+    @property
+    def repeats(self):
+        """Its session may be sent again whatever became of it."""
+        return self.listener is not None and self.listener.repeat is Repeat.REPEATABLE
+
     def answered(self):
         """The server has sent a line back."""
         if self.asked is not None:
@@ -126,8 +132,8 @@
             self.dial.wire.abort(reset=reset)
 
     def fault(self):
-        self.lost(True)
         if self.up:
+            self.lost(True)
             self.wire.abort(reset=True)
         else:
             self.timer.cancel()
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -72,9 +72,16 @@
     def received(self, data):
         if self.up:
             return self.pass_on(bytes(data))
+        if self.over:
+            return
+        if self.turned:
+            # It says more than BUSY: what was turned away may have run all the same.
+            return self.give_up(Outcome.ERROR)
         self.lines.feed(data)
         try:
             line = self.lines.next()
+            while line is not None and line.startswith(b"LOAD "):
+                line = self.lines.next()
         except Malformed:
             return self.give_up(Outcome.ERROR)
         if line is None:
@@ -90,7 +97,18 @@
         self.door.reported(self.server, rest)
         if word not in FIRST_WORDS:
             self.door.odd_answer(self, line)
-        self.give_up(FIRST_WORDS.get(word, Outcome.ERROR))
+        outcome = FIRST_WORDS.get(word, Outcome.ERROR)
+        if outcome is not Outcome.FULL:
+            self.give_up(outcome)
+        elif self.lines.rest:
+            self.give_up(Outcome.ERROR)
+        elif not self.sent or self.client.repeats:
+            self.give_up(outcome)
+        else:
+            # BUSY says that it never ran, and another dial rests on that: a second answer, which would belie it,
+            # comes within moments or with the connection's end.
+            self.turned = True
+            self.set_timer(min(self.limits.second_answer, self.until - self.clock.now()), self.give_up, outcome)
 
     def pass_on(self, data):
         self.client.wire.send(data)
@@ -126,19 +144,25 @@
 
     def ended(self):
         if not self.up:
-            return self.give_up(Outcome.RESET if self.sent else Outcome.CONNECT_FAILED)
+            return self.give_up(self.broken)
         self.tell_over(self.outcome)
         self.client.wire.finish()
         self.set_timer(self.limits.linger, self.close)
 
+    @property
+    def broken(self):
+        """What it means that the connection is gone before UP."""
+        return Outcome.FULL if self.turned else Outcome.RESET if self.sent else Outcome.CONNECT_FAILED
+
     def close(self):
-        """What is left of a connection that one side has ended."""
+        """What is left of a connection that one side has ended. Nothing waits here then: an end is read only once
+        all before it has gone to the system."""
         self.wire.abort()
         self.client.wire.abort()
         self.tell_over(self.outcome)
 
     def lost(self, reset):
-        self.tell_over(self.outcome if self.up or self.sent else Outcome.CONNECT_FAILED)
+        self.tell_over(self.outcome if self.up else self.broken)
         if self.up:
             if reset:
                 self.client.wire.abort(reset=True)
@@ -159,10 +183,12 @@
         super().__init__(door, limits, clock)
         self.server = server
         self.asked = False
+        self.used = False       # has answered before
+        self.until = None
 
-    def ask(self):
-        self.asked = True
-        self.set_timer(self.limits.probe, self.end, Outcome.OVERDUE)
+    def ask(self, until):
+        self.asked, self.until = True, until
+        self.set_timer(until - self.clock.now(), self.end, Outcome.OVERDUE)
         if self.wire.open:
             self.wire.send(b"STATS", END)
 
@@ -180,15 +206,25 @@
         word, _, rest = line.partition(b" ")
         if not self.asked or self.lines.rest or word != b"PONG":
             return self.end(Outcome.FULL if word == b"BUSY" else Outcome.ERROR)
-        self.asked = False
+        self.asked, self.used = False, True
         self.set_timer(0.8 * self.limits.idle, self.end, None)
         self.door.probed(self, Outcome.COMPLETED, rest)
 
     def ended(self):
-        self.end(Outcome.RESET)
+        self.gone(Outcome.RESET)
 
     def lost(self, reset):
-        self.end(Outcome.RESET if self.wire.reached else Outcome.CONNECT_FAILED)
+        self.gone(Outcome.RESET if self.wire.reached else Outcome.CONNECT_FAILED)
+
+    def gone(self, outcome):
+        """Servers close links that lie idle, also in the moment in which one is asked again: without a byte of an
+        answer that is held against nobody, and the same is asked over a new link."""
+        if self.asked and self.used and not self.lines.rest:
+            self.asked = False
+            self.end(None)
+            self.door.probe_again(self.server, self.until)
+        else:
+            self.end(outcome)
 
     def fault(self):
         self.end(Outcome.ERROR)
