--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -467,6 +467,10 @@
     ('{"settings": {"listeners": [{}]}, "listen": "here"}', "listen"),
     ('{"settings": {"listeners": [{}]}, "limits": {"memory_mb": 8}, "listen": "h:1", "discovery": "h:1",'
      '"name": "n", "seed": ""}', "limits.memory_mb"),
+    ('{"settings": {"listeners": [{"dialTimeoutS": 1e999}]}, "listen": "h:1", "discovery": "h:1", "name": "n",'
+     '"seed": ""}', "settings.listeners[0].dialTimeoutS"),
+    ('{"settings": {"listeners": [{}], "obligations": {"drainGraceS": %s}}, "listen": "h:1", "discovery": "h:1",'
+     '"name": "n", "seed": ""}' % (10 ** 400), "settings.obligations.drainGraceS"),
     ("{", "NODE_CONFIG")])
 def test_bad_configuration(tmp_path, config, key):
     path = tmp_path / "config.json"
--- a/tests/test_rare_dials.py
+++ b/tests/test_rare_dials.py
@@ -229,6 +229,15 @@
         assert turns.sent() == was_sent
 
 
+@pytest.mark.parametrize("d", (0, 1, 14, 16))
+def test_no_time_at_all(d):
+    """Shorter than the margin in which an answer gets out: refused at once, and nothing is sent."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        assert turns.hears(turns.open(d=d)).startswith("BUSY")
+        assert not turns.sent()
+
+
 def window_over_as_the_connection_comes_up():
     """Referenced: again only within the window of the first dial, which ends while the second one comes up."""
     settings = {"listeners": [{"name": "any", "repeat": "dedup", "dedupScope": "all", "windowS": 0.3,
@@ -365,6 +374,51 @@
         return turns.lines
 
 
+ENDS = [f"{side} {how}" for side in ("client", "server") for how in ("finishes", "resets")]
+
+
+@pytest.mark.parametrize("one_turn", (True, False))
+@pytest.mark.parametrize("first, then", [(one, other) for one in ENDS for other in ENDS if one[:6] != other[:6]])
+def test_both_sides_end(first, then, one_turn):
+    """In each order, with bytes of both on their way: nothing is left, and nothing goes wrong."""
+    with Turns(limits={"linger": 100.0}) as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        server = turns.taken()
+        turns.hears(server)
+        server.say("UP r1")
+        turns.hears(client)
+        for end in (first, then):
+            peer = client if end.startswith("client") else server
+            try:
+                peer.say("one line more")
+                (peer.finish if end.endswith("finishes") else peer.reset)()
+            except OSError:
+                peer.sock.close()       # the other side's end has come to it already
+            if not one_turn:
+                time.sleep(0.01)
+                turns.turn(4)
+        turns.until(lambda: turns.carrier.sockets == 1)
+        assert not turns.proxy.clients and not any(server.sessions for server in turns.proxy.servers.values())
+        assert not [event for event, _ in turns.logged if event == "fault"]
+
+
+def server_gone_while_it_is_probed():
+    report = {"how": "on_probe", "names": ["x0"]}
+    with Turns(settings={"report": report, "limits": {"maxDials": 3, "mayProbe": True}}) as turns:
+        watch = turns.watched("a", "b")
+        client = turns.open()
+        link = turns.taken()
+        turns.hears(link)
+        name = link.name[-1]
+        turns.chunk(watch, json.dumps(turns.list(name, whole=False, health="gone")) + "\n")
+        other = turns.taken("b" if name == "a" else "a")
+        turns.lines.append(f"asked elsewhere: {turns.hears(other)}")
+        turns.lines.append(f"links: {len(turns.proxy.links)}, faults {[e for e, _ in turns.logged if e == 'fault']}")
+        del client
+        return turns.lines[-2:]
+
+
 def move_behind_unread_lines():
     """The client reads on, slowly, for longer than an end is waited for: it gets all, and MOVE."""
     with Turns(limits={"linger": 150.0}) as turns:
@@ -379,7 +433,8 @@
     left_with_its_line_unread, left_in_the_turn_of_up, left_between_two_dials,
     left_while_a_probe_is_awaited, busy_and_up_in_one_read, busy_and_up_soon_after, busy_alone,
     load_before_up, window_over_as_the_connection_comes_up, class_gone_while_it_is_dialled, fault_before_anything_was_sent, no_descriptor_for_a_dial_that_was_replaced,
-    link_closed_as_it_is_asked, probed_server_moves, more_open_than_ids_are_kept, move_behind_unread_lines)}
+    link_closed_as_it_is_asked, probed_server_moves, server_gone_while_it_is_probed,
+    more_open_than_ids_are_kept, move_behind_unread_lines)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -45,9 +45,11 @@
             raise Misconfigured(f"{self.at(key)}: must be {what}")
         return value
 
-    def number(self, key, default, least=0.0, most=math.inf):
+    MOST = 1e15         # past it nothing is meant, and the figures worked out of it would be infinite
+
+    def number(self, key, default, least=0.0, most=MOST):
         value = self.get(key, default, (int, float), "a number")
-        if not least <= value <= most or math.isinf(value):
+        if not least <= value <= most:
             raise Misconfigured(f"{self.at(key)}: {value} is not within {least:g} and {most:g}")
         return value
 
