--- a/tests/test_rare_dials.py
+++ b/tests/test_rare_dials.py
@@ -1,5 +1,5 @@
-"""Moments at which a dial crosses with its client's leaving, with its time's end or with what its server says; and those at
-which a connection is closed."""
+"""Moments at which a dial crosses with its client's leaving, with its time's end or with what its server says; and
+those at which a connection is closed."""
 
 import json
 import random
@@ -432,9 +432,10 @@
 SCENARIOS = {run.__name__: run for run in (
     left_with_its_line_unread, left_in_the_turn_of_up, left_between_two_dials,
     left_while_a_probe_is_awaited, busy_and_up_in_one_read, busy_and_up_soon_after, busy_alone,
-    load_before_up, window_over_as_the_connection_comes_up, class_gone_while_it_is_dialled, fault_before_anything_was_sent, no_descriptor_for_a_dial_that_was_replaced,
-    link_closed_as_it_is_asked, probed_server_moves, server_gone_while_it_is_probed,
-    more_open_than_ids_are_kept, move_behind_unread_lines)}
+    load_before_up, window_over_as_the_connection_comes_up, class_gone_while_it_is_dialled,
+    fault_before_anything_was_sent, no_descriptor_for_a_dial_that_was_replaced, link_closed_as_it_is_asked,
+    probed_server_moves, server_gone_while_it_is_probed, more_open_than_ids_are_kept,
+    move_behind_unread_lines)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/tests/test_rare_lists.py
+++ b/tests/test_rare_lists.py
@@ -1,5 +1,5 @@
-"""Moments at which a list crosses with another, with a dial or with a start: peers on loopback sockets force the order, in
-one turn of the loop where need be."""
+"""Moments at which a list crosses with another, with a dial or with a start: peers on loopback sockets force the
+order, in one turn of the loop where need be."""
 
 import json
 import time
@@ -330,10 +330,10 @@
 
 SCENARIOS = {run.__name__: run for run in (
     list_indented_and_in_pieces, answer_of_a_stated_length, answer_cut_in_the_middle,
-    entry_that_cannot_be_read, whole_list_with_a_bad_entry, exception_while_a_list_is_taken,
-    never_answered, answered_late, both_answer_in_one_turn, trickle, older_list_at_a_new_address,
-    reload_between_two_watches, line_before_the_first_list, line_before_a_list_that_does_not_come, fault_while_the_first_list_is_awaited,
-    known_list_with_a_bad_entry)}
+    entry_that_cannot_be_read, whole_list_with_a_bad_entry, exception_while_a_list_is_taken, never_answered,
+    answered_late, both_answer_in_one_turn, trickle, older_list_at_a_new_address,
+    reload_between_two_watches, line_before_the_first_list, line_before_a_list_that_does_not_come,
+    fault_while_the_first_list_is_awaited, known_list_with_a_bad_entry)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
--- a/tests/test_rare_stops.py
+++ b/tests/test_rare_stops.py
@@ -155,8 +155,7 @@
 SCENARIOS = {run.__name__: run for run in (
     stop_behind_unread_lines, stop_behind_who_never_reads, line_in_the_backlog_at_the_end,
     let_in_and_silent_at_the_end, still_waiting_at_the_end, deadlines_much_shorter,
-    stopped_twice_and_before_ready,
-    handed_over_in_the_turn_of_lines_and_ends)}
+    stopped_twice_and_before_ready, handed_over_in_the_turn_of_lines_and_ends)}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
