lab scale fleet: hollow proxies over loopback sockets, shaped, cut, killed and judged from outside

What one proxy's control part costs at a size could not be measured, and no fault between hundreds be played. Many control parts share a process, each the very Peers with links, seal, membership and facts; delays, losses and cuts stand at the carrier. Links also count the bytes that come (bytes_in), and the hello on a stream among those sent.

--- /dev/null
+++ b/wheathill/lab/scale/commands.py
@@ -0,0 +1,50 @@
+"""The commands of `wheathill lab scale`."""
+
+import json
+import sys
+
+import click
+
+
+def say(text):
+    click.echo(text, err=True)
+
+
+@click.command()
+@click.option("--members", type=click.IntRange(2, 10_000), required=True)
+@click.option("--zones", type=click.IntRange(1, 1000), required=True)
+@click.option("--regions", type=click.IntRange(1, 1000), required=True)
+@click.option("--seconds", type=click.FloatRange(5.0, 86_400.0), required=True, help="of the fleet's time")
+@click.option("--loss", type=click.FloatRange(0.0, 0.9), default=0.0, help="share of datagrams, and of segments")
+@click.option("--cut", metavar="REGION", help="r1, r2, ...: cut off and back")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
+@click.option("--kill-zone", metavar="ZONE", help="z1, z2, ...: all its processes die at once")
+@click.option("--deaths", type=click.IntRange(0), default=1, show_default=True, help="single processes that die for good")
+@click.option("--churn", type=click.IntRange(0), default=0, show_default=True, help="processes restarted during the faults")
+@click.option("--changes", type=click.IntRange(0, 100), default=3, show_default=True, help="issued at one member")
+@click.option("--processes", type=click.IntRange(1, 200), help="that share the members")
+@click.option("--period", type=float, default=1000.0, show_default=True, help="ms between probes")
+@click.option("--patience", type=float, default=300.0, show_default=True, help="ms for an answer")
+@click.option("--stretch", type=click.FloatRange(1.0), default=1.0, show_default=True,
+              help="seconds of the machine in one of the fleet's")
+@click.option("--servers", type=click.IntRange(0), default=64, show_default=True, help="that each has just seen")
+@click.option("--known", is_flag=True, help="all know each other from the start")
+@click.option("--rest", type=float, help="seconds measured at rest; a fifth of all where left out")
+@click.option("--zoned/--flat", "zoned", default=None, help="whether members are told their zone, where they can be")
+@click.option("--one-way", is_flag=True, help="1, 5 and 80 to 200 ms each way, not for the way there and back")
+@click.option("--no-shape", is_flag=True, help="no delays, losses or cuts between the members")
+@click.option("--no-faults", is_flag=True, help="measure rest only")
+def fleet(json_path, stretch, no_shape, no_faults, **told):
+    """Run hollow proxies and judge them from outside; exit with 1 if something did not hold."""
+    from wheathill.lab.scale import fleet as runs
+    found = runs.play(runs.Plan(rate=stretch, shaped=not no_shape, faults=not no_faults, **told), say)
+    if json_path:
+        runs.keep(found, json_path)
+    click.echo(json.dumps(found))
+    for breach in found["breaches"]:
+        say(f"did not hold: {breach}")
+    sys.exit(1 if found["breaches"] else 0)
+
+
+COMMANDS = {"fleet": fleet}
--- /dev/null
+++ b/wheathill/lab/scale/crew.py
@@ -0,0 +1,64 @@
+"""The processes of hollow proxies, as their parent has them: orders go to all of them or to the one of a member. They
+die with this process, whatever ends it, by the system's parent-death signal."""
+
+import asyncio
+import json
+import os
+import sys
+from dataclasses import asdict
+
+from wheathill.lab.worlds.processes import dies_with_the_lab
+
+
+class Lost(Exception):
+    """A process of hollow proxies has ended, or answers that it failed; the text says how."""
+
+
+class Crews:
+    def __init__(self, layout, processes):
+        self.layout = layout
+        # Neighbours are in different processes: each has of every zone.
+        self.numbers = [list(range(first, layout.members, processes)) for first in range(processes)]
+        self.workers = []
+
+    async def begin(self, rate, loss, shaped, sockets):
+        for _ in self.numbers:
+            self.workers.append(await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "wheathill.lab.scale.hollow", stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE, limit=2 ** 27, preexec_fn=dies_with_the_lab,
+                env={**os.environ, "PYTHONHASHSEED": "0"}))
+        return await asyncio.gather(*(
+            self.ask(worker, {"do": "build", "layout": asdict(self.layout), "numbers": numbers, "rate": rate,
+                              "loss": loss, "shaped": shaped, "sockets": sockets})
+            for worker, numbers in zip(self.workers, self.numbers)))
+
+    async def ask(self, worker, order):
+        worker.stdin.write(json.dumps(order).encode() + b"\n")
+        line = await worker.stdout.readline()
+        if not line:
+            raise Lost(f"a process of hollow proxies ended with {await worker.wait()}")
+        answer = json.loads(line)
+        if "wrong" in answer:
+            raise Lost(f"{order.get('do')}: {answer['wrong']}")
+        return answer["answer"]
+
+    async def all(self, do, **order):
+        """The answers of all processes."""
+        return await asyncio.gather(*(self.ask(worker, {"do": do, **order}) for worker in self.workers))
+
+    async def each(self, do, numbers, **order):
+        """Each process is told of those of `numbers` that are its own; the answers of those that have any."""
+        parts = [[number for number in numbers if number % len(self.workers) == place]
+                 for place in range(len(self.workers))]
+        return await asyncio.gather(*(self.ask(worker, {"do": do, "numbers": part, **order})
+                                      for worker, part in zip(self.workers, parts) if part))
+
+    async def of(self, do, number, **order):
+        return await self.ask(self.workers[number % len(self.workers)], {"do": do, "number": number, **order})
+
+    async def end(self):
+        for worker in self.workers:
+            if worker.returncode is None:
+                worker.kill()
+        for worker in self.workers:
+            await worker.wait()
--- /dev/null
+++ b/wheathill/lab/scale/fleet.py
@@ -0,0 +1,311 @@
+"""One run of a fleet of hollow proxies: it starts, rests, is measured, meets faults and is judged.
+
+All times are the fleet's own seconds; `rate` says how many of the machine's go into one.
+"""
+
+import asyncio
+import json
+import os
+import random
+import time
+from dataclasses import dataclass
+
+from wheathill.config import Misconfigured
+from wheathill.lab.scale import judge
+from wheathill.lab.scale.crew import Crews, Lost
+from wheathill.lab.scale.layout import Layout, can_be_zoned, free_net, region_of, zone_of
+
+WITHIN = 6.0            # s for a change to be in force, and for a death to be known
+BACK = 2.0              # s until a process that was restarted is there again
+ROUNDING = 1e-6
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What is asked for; see `lab scale fleet --help`."""
+
+    members: int
+    zones: int
+    regions: int
+    seconds: float
+    seed: int = 1
+    loss: float = 0.0
+    cut: str | None = None
+    kill_zone: str | None = None
+    deaths: int = 1
+    churn: int = 0
+    changes: int = 3
+    processes: int | None = None
+    period: float = 1000.0
+    patience: float = 300.0
+    rate: float = 1.0
+    servers: int = 64
+    known: bool = False
+    zoned: bool | None = None
+    shaped: bool = True
+    one_way: bool = False
+    rest: float | None = None
+    faults: bool = True
+    sockets: int = 1024
+
+
+class Fleet:
+    def __init__(self, plan, say=lambda text: None):
+        if plan.regions > plan.zones or plan.zones > plan.members:
+            raise Misconfigured("--zones: must be as many as --regions at the least, and --members as --zones")
+        if plan.zoned and not can_be_zoned():
+            raise Misconfigured("--zoned: proxies of this version are told no zone")
+        self.plan, self.say = plan, say
+        net, self.held = free_net(os.getpid())
+        ways = (1.0, 5.0, 80.0, 200.0) if plan.one_way else Layout.ways
+        self.layout = Layout(plan.members, plan.zones, plan.regions, net, plan.seed, plan.period, plan.patience,
+                             plan.servers, plan.changes, can_be_zoned() if plan.zoned is None else plan.zoned, ways)
+        self.region = None if plan.cut is None else region_of(plan.cut, self.layout)
+        self.zone = None if plan.kill_zone is None else zone_of(plan.kill_zone, self.layout)
+        self.rng = random.Random(f"{plan.seed}/faults")
+        processes = plan.processes or min(os.cpu_count() or 1, -(-plan.members // 8))
+        self.crews = Crews(self.layout, min(processes, plan.members))
+        self.starts = {number: 1 for number in range(plan.members)}     # of those that run
+        self.gone, self.changes = {}, {}
+        self.cut = judge.Cut(self.layout, None, 0.0, 0.0)
+        self.found = {}
+
+    # Time
+
+    def now(self):
+        """s since the start, in the fleet's time."""
+        return time.monotonic() / self.plan.rate - self.began
+
+    def since(self, ms):
+        """Of a time that a process tells."""
+        return ms / 1000 - self.began
+
+    async def until(self, when):
+        await asyncio.sleep(max(0.0, (when - self.now()) * self.plan.rate))
+
+    # The run
+
+    async def play(self):
+        plan = self.plan
+        try:
+            imported = await self.crews.begin(plan.rate, plan.loss, plan.shaped, plan.sockets)
+            self.say(f"{plan.members} hollow proxies in {len(imported)} processes, zone-wise views "
+                     f"{'on' if self.layout.zoned else 'off'}; the control part's code {max(imported):.1f} MB")
+            idle = await self.crews.all("figures")
+            await asyncio.sleep(1.0)
+            self.idle = [(after["cpu_s"] - before["cpu_s"]) / (after["now"] - before["now"]) * 1000
+                         for before, after in zip(idle, await self.crews.all("figures"))]
+            self.began = time.monotonic() / plan.rate
+            await self.crews.each("start", list(range(plan.members)), together=plan.known)
+            self.found["started_s"] = round(self.now(), 2)
+            await self.settle()
+            await self.rest()
+            if plan.faults:
+                await self.faults()
+            await self.until(plan.seconds)
+            return await self.judged()
+        finally:
+            await self.crews.end()
+            self.held.close()
+
+    def expected(self):
+        """How many a member of each zone is to know."""
+        layout = self.layout
+        if not layout.zoned:
+            return [len(self.starts)] * layout.zones
+        return [sum(layout.zone(number) == zone for number in self.starts) for zone in range(layout.zones)]
+
+    async def sight(self):
+        found = {}
+        for each in await self.crews.all("sight", names=self.expected()):
+            for key, count in each.items():
+                found[key] = found.get(key, 0) + count
+        return found
+
+    async def settle(self):
+        """Until all know each other, or for 0.3 of the run."""
+        self.found["settled_s"] = self.found["agreed_s"] = None
+        while True:
+            sight = await self.sight()
+            now = round(self.now(), 2)
+            if sight.get("know all") == len(self.starts):
+                if self.found["settled_s"] is None:
+                    self.found["settled_s"] = now
+                    self.say(f"all know each other after {now} s")
+                if sight.get("agreed") == len(self.starts):
+                    self.found["agreed_s"] = now
+                    break
+            if now >= 0.3 * self.plan.seconds:
+                break
+            await self.until(min(self.now() + 0.5, 0.3 * self.plan.seconds))
+        self.found["know_all_at_rest"], self.found["agreed_at_rest"] = sight.get("know all", 0), sight.get("agreed", 0)
+        await self.until(0.3 * self.plan.seconds)
+
+    async def rest(self):
+        plan = self.plan
+        if self.found["settled_s"] is None:
+            self.say("they do not all know each other: what follows is not at rest")
+        before = await self.crews.all("figures")
+        await self.until(self.now() + (plan.rest or 0.2 * plan.seconds))
+        after = await self.crews.all("figures")
+        took, bytes_s, messages_s, share = [], [], [], []
+        for one, other, idle in zip(before, after, self.idle):
+            seconds = (other["now"] - one["now"]) / 1000
+            took.append(seconds)
+            each = max(0.0, (other["cpu_s"] - one["cpu_s"]) / seconds - idle) / len(other["members"])
+            for number, (sent, taken, out, come) in other["members"].items():
+                old = one["members"][number]
+                bytes_s.append((out + come - old[2] - old[3]) / seconds)
+                messages_s.append((sent + taken - old[0] - old[1]) / seconds)
+                share.append(each)
+        memory = [found["each_mb"] for found in await self.crews.all("memory") for _ in range(found["members"])]
+        self.found |= {
+            "bytes_per_s": judge.spread(bytes_s, 1), "messages_per_s": judge.spread(messages_s, 2),
+            "core_share": judge.spread(share, 6), "memory_mb": judge.spread(memory, 3),
+            "rest_s": round(max(took), 2), "late_ms": round(max(found["late_ms"] for found in after), 1)}
+        self.say(f"at rest: {self.found['bytes_per_s']['p50']} bytes/s, "
+                 f"{100 * self.found['core_share']['p50']:.3f}% of a core, {self.found['memory_mb']['p50']} MB each")
+
+    async def faults(self):
+        plan, first, each = self.plan, self.now(), self.plan.seconds
+        spared = self.rng.randrange(plan.members)
+        while self.zone is not None and self.layout.zone(spared) == self.zone:
+            spared = self.rng.randrange(plan.members)
+        others = [number for number in range(plan.members) if number != spared]
+        planned = [(first + 0.02 * each, self.kill, self.rng.sample(others, min(plan.deaths, len(others))))]
+        if self.zone is not None:
+            planned.append((first + 0.04 * each, self.kill, [
+                number for number in others if self.layout.zone(number) == self.zone]))
+        if self.region is not None:
+            planned += [(first + 0.06 * each, self.set_cut, True), (first + 0.21 * each, self.set_cut, False)]
+        for _ in range(plan.churn):
+            planned.append((first + self.rng.uniform(0.0, 0.25) * each, self.restart, self.rng.choice(others)))
+        for change in range(plan.changes):
+            # At first, amid what goes wrong, and after it.
+            when = first + 0.24 * each * change / max(1, plan.changes - 1)
+            planned.append((min(when, max(first, each - WITHIN - 1.0)), self.change, (spared, change)))
+        while planned:
+            planned.sort(key=lambda item: item[0])
+            when, call, told = planned.pop(0)
+            await self.until(when)
+            if back := await call(told):
+                planned.append((self.now() + BACK, *back))
+        self.found["last_fault_s"] = round(self.now(), 2)
+        self.found["views_right_s"] = None
+        while self.now() < each:
+            views = await self.views()
+            if views["right"] == len(self.starts):
+                self.found["views_right_s"] = round(self.now() - self.found["last_fault_s"], 2)
+                break
+            await self.until(self.now() + max(0.5, plan.members / 200))
+
+    async def kill(self, numbers):
+        numbers = [number for number in numbers if number in self.starts]
+        told = await self.crews.all("gone", names=[self.layout.name(number) for number in numbers])
+        await self.crews.each("kill", numbers)
+        for number in numbers:
+            del self.starts[number]
+            self.gone[number] = self.since(max(told))
+        self.say(f"{self.now():.1f} s: {len(numbers)} killed")
+
+    async def restart(self, number):
+        if number in self.starts:
+            await self.crews.each("kill", [number])
+            start = self.starts.pop(number)
+            return self.come_back, (number, start + 1)
+
+    async def come_back(self, told):
+        number, start = told
+        await self.crews.each("start", [number])
+        self.starts[number] = start
+        self.found["restarts"] = self.found.get("restarts", 0) + 1
+
+    async def set_cut(self, on):
+        told = self.since(max(await self.crews.all("cut", region=self.region if on else None)))
+        if on:
+            self.cut = judge.Cut(self.layout, self.region, told, float("inf"))
+        else:
+            self.cut.ended = told
+        self.say(f"{told:.1f} s: {self.plan.cut} is {'cut off' if on else 'back'}")
+
+    async def change(self, told):
+        number, change = told
+        when = await self.crews.of("change", number, change=change)
+        self.changes[f"change-{change}"] = number, self.since(when)
+
+    async def views(self):
+        births = {self.layout.name(number): self.layout.birth(number, start) for number, start in self.starts.items()}
+        parts = await self.crews.all("views", births=births)
+        return {"right": sum(part["right"] for part in parts), "wrong": [one for part in parts for one in part["wrong"]]}
+
+    # What it showed
+
+    async def judged(self):
+        plan, layout, end = self.plan, self.layout, self.now()
+        views = await self.views()
+        parts = await self.crews.all("judged")
+        told = {int(number): {server: self.since(when) for server, when in found.items()}
+                for part in parts for number, found in part["told"].items()}
+        began = {int(number): self.since(when) for part in parts for number, when in part["began"].items()}
+        known = {(layout.number(member), layout.number(dead)): self.gone[layout.number(dead)] + took / 1000
+                 for part in parts for member, dead, took in part["known"]}
+        counts, shaped = {}, {}
+        for part in parts:
+            for total, here in ((counts, part["counts"]), (shaped, part["shaped"])):
+                for key, count in here.items():
+                    total[key] = total.get(key, 0) + count
+        force = judge.changes_in_force(self.changes, told, began, self.cut, end, WITHIN)
+        deaths, never = judge.deaths_known(
+            known, self.gone, began, self.cut,
+            lambda one, other: not layout.zoned or layout.zone(one) == layout.zone(other))
+        found = {
+            "members": plan.members, "zones": plan.zones, "regions": plan.regions, "seconds": plan.seconds,
+            "seed": plan.seed, "loss": plan.loss, "cut": plan.cut, "kill_zone": plan.kill_zone, "churn": plan.churn,
+            "rate_of_time": plan.rate, "period_ms": plan.period, "patience_ms": plan.patience,
+            "servers_seen": plan.servers, "processes": len(parts), "zoned": layout.zoned,
+            "start": "all known" if plan.known else "together",
+            "one_way_ms": list(layout.ways) if plan.shaped else None, **self.found,
+            "change_in_force_s": judge.spread(force["in_force"], 3), "changes": len(self.changes),
+            "changes_late": force["late"], "changes_open": force["open"], "not_reached": len(force["lacked"]),
+            "death_known_s": judge.spread(deaths, 3), "deaths": len(self.gone), "deaths_not_known": never,
+            "largest_sum_of_shares": round(judge.largest_sum(
+                item for part in parts for item in part["shares"]), 6),
+            "views_right": views["right"], "views_wrong": views["wrong"][:5], "running": len(self.starts),
+            "told_otherwise": counts.pop("told with another content", 0), "shaped": shaped, "counts": counts}
+        found["breaches"] = list(self.breaches(found))
+        return found
+
+    def breaches(self, found):
+        if found["largest_sum_of_shares"] > 1.0 + ROUNDING:
+            yield f"shares summed to {found['largest_sum_of_shares']}"
+        if found["told_otherwise"]:
+            yield f"{found['told_otherwise']} were told of a change again with another content"
+        if found["not_reached"]:
+            yield f"{found['not_reached']} members lacked a change {WITHIN:g} s after they could have had it"
+        if found["changes_late"]:
+            yield f"{found['changes_late']} times a change was in force later than {WITHIN:g} s"
+        if self.plan.faults and found["views_right"] != found["running"]:
+            yield f"views of {found['running'] - found['views_right']} members are wrong at the end"
+        if found["deaths_not_known"]:
+            yield f"{found['deaths_not_known']} times a death was not known at the end"
+        faults = [key for key in found["counts"] if key.startswith("fault")]
+        if faults:
+            yield f"faults in the program: {faults}"
+        if self.plan.faults and self.region is not None and not found["shaped"].get("datagrams cut off"):
+            yield "fault without effect: the cut stopped nothing"
+        if self.plan.loss and self.plan.shaped and not found["shaped"].get("datagrams lost"):
+            yield "fault without effect: nothing was lost"
+
+
+def play(plan, say=lambda text: None):
+    """The object that `--json` keeps. Raises Misconfigured."""
+    try:
+        return asyncio.run(Fleet(plan, say).play())
+    except Lost as wrong:
+        raise Misconfigured(str(wrong)) from None
+
+
+def keep(found, path):
+    with open(path, "w") as out:
+        json.dump(found, out, indent=2)
+        out.write("\n")
--- /dev/null
+++ b/wheathill/lab/scale/hollow.py
@@ -0,0 +1,333 @@
+"""Hollow proxies: everything of a proxy's control part and no sessions, many in one process.
+
+`python -m wheathill.lab.scale.hollow` reads orders from its standard input, a line of JSON each, and answers each with
+a line. Under a `Peers` stands what it asks of a proxy; its links, seal, membership, facts, drains and witnesses are the
+ones that a proxy runs, over real loopback sockets. Times are in the fleet's ms, which a rate of time stretches.
+"""
+
+import asyncio
+import gc
+import json
+import os
+import random
+import resource
+import sys
+import time
+from collections import Counter
+
+# What a proxy without peers has loaded as well; `wheathill.peers` is imported once its cost can be told.
+from wheathill.config import operator       # noqa: F401
+from wheathill.lab.scale.layout import Layout
+from wheathill.lab.scale.shape import Shape, ShapedCarrier
+from wheathill.model import Phase
+from wheathill.net.clock import Clock
+from wheathill.net.driver import Carrier
+from wheathill.net.proxy import Proxy       # noqa: F401
+
+FRESH = 500.0       # ms since a server was last heard, where the proxy sees it
+
+
+class StretchedClock(Clock):
+    """`rate` times as slow as the machine's. One that is stopped rings no more, as that of a dead process."""
+
+    def __init__(self, loop, rate):
+        self.rate = rate
+        self.stopped = False
+        super().__init__(loop)
+
+    def now(self):
+        return self.loop.time() * 1000 / self.rate
+
+    def at(self, when, call, *args):
+        return self.loop.call_at(when * self.rate / 1000, self.ring, call, args)
+
+    def after(self, wait, call, *args):
+        return self.loop.call_later(wait * self.rate / 1000, self.ring, call, args)
+
+    def soon(self, call, *args):
+        return self.loop.call_soon(self.ring, call, args)
+
+    def ring(self, call, args):
+        if not self.stopped:
+            call(*args)
+
+
+class Seen:
+    """A server that a proxy has just heard of, or never has."""
+
+    samples = results = ()
+    silent, asked = 0, 0.0
+
+    def __init__(self, name, clock):
+        self.name, self.clock = name, clock
+
+    @property
+    def heard(self):
+        return self.clock.now() - FRESH if self.clock else -1e12
+
+
+class StandIn:
+    """What a `Peers` asks of a proxy and its decisions, and tells them."""
+
+    def __init__(self, hollow, servers):
+        self.hollow, self.servers = hollow, servers
+        self.balancer = self.cold = self.levels = self
+        self.borne = 0.25
+        self.rights = None
+
+    def on_fleet(self, now, share):
+        self.hollow.takes(now, share)
+
+    def on_witnesses(self, now, failing, here):
+        self.hollow.crew.counts["witnesses said"] += 1
+
+    def told_by_peers(self, server, phase, born):
+        self.hollow.told_of(server.name, phase, born)
+
+
+class Hollow:
+    """One name; `peers` is the process that runs under it now, or None."""
+
+    def __init__(self, crew, number):
+        self.crew, self.number = crew, number
+        self.name = crew.layout.name(number)
+        self.starts = 0
+        self.peers = None
+        self.share = 0.0
+        self.told = {}      # server -> (when, content) as first told
+        self.began = 0.0
+
+    def start(self, together=None):
+        """`together`: numbers of all members where it is to know them from the start, else None."""
+        from wheathill.peers.instance import Peers
+        crew, layout = self.crew, self.crew.layout
+        self.starts += 1
+        self.told = {}
+        self.clock = StretchedClock(crew.loop, crew.clock.rate)
+        self.began = self.clock.now()
+        self.carrier = ShapedCarrier(crew.carrier, crew.shape, self.number) if crew.shape else crew.carrier
+        peers = self.peers = Peers(layout.told(self.number), StandIn(self, crew.servers), self.carrier, self.clock,
+                                   self.log, layout.birth(self.number, self.starts), layout.members)
+        for change in range(layout.changes):
+            peers.on_entry(f"change-{change}", Phase.READY, 0.0)
+        if together:
+            self.know(together)
+        peers.start()
+
+    def know(self, numbers):
+        """As long after a start: views, births and agreement are there."""
+        peers, layout, now = self.peers, self.crew.layout, self.clock.now()
+        peers.look = peers.log_event = lambda *_, **__: None
+        others = [number for number in numbers if number != self.number]
+        for number in others:
+            peers.membership.hear(now, [["alive", layout.name(number), layout.address(number), 0,
+                                         layout.birth(number, 1), layout.name(number)]])
+            peers.links.peer(layout.address(number)).birth = layout.birth(number, 1)
+        del peers.look
+        peers.log_event = self.log
+        peers.membership.rumours.told.clear()
+        peers.membership.joined = True
+        peers.membership.sync_wait = peers.membership.sync_every
+        peers.facts.old = True
+        peers.facts.ended.clear()
+        digest = peers.facts.digest()
+        for known in peers.facts.there.values():
+            known.old, known.digest = True, digest
+
+    def kill(self):
+        """As SIGKILL: nothing is said, its sockets close, what asks for its address is refused."""
+        if self.peers is None:
+            return
+        self.clock.stopped = True
+        self.peers.links.close()
+        if self.crew.shape:
+            self.carrier.kill()
+        self.peers = None
+        self.takes(self.clock.now(), 0.0)
+
+    # What is seen of it
+
+    def takes(self, now, share):
+        # A process that died may still be told by what was on its way within this call.
+        if share != self.share and (self.peers is not None or not share):
+            tick = round(now)
+            self.crew.shares[tick] = self.crew.shares.get(tick, 0.0) + share - self.share
+            self.share = share
+
+    def told_of(self, server, phase, born):
+        content = [phase.value, born]
+        if server not in self.told:
+            self.told[server] = self.clock.now(), content
+        elif self.told[server][1] != content:
+            self.crew.counts["told with another content"] += 1
+
+    def log(self, event, **fields):
+        if event == "peer" and fields["state"] in ("dead", "left") and fields["peer"] in self.crew.gone:
+            self.crew.known.setdefault((self.name, fields["peer"]), self.clock.now())
+        elif event in ("fault", "peers: dropped"):
+            self.crew.counts[f"{event} {fields.get('why') or fields.get('what')}"] += 1
+
+    def figures(self):
+        links = self.peers.links
+        return [links.sent, links.taken, links.bytes, links.bytes_in]
+
+
+def memory_mb():
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() / 2 ** 20
+
+
+class Crew:
+    """All hollow proxies of this process."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.counts = Counter()
+        self.shares = {}        # fleet's ms -> by how much the sum of the shares changed then
+        self.gone = {}          # name -> when it was killed for good
+        self.known = {}         # (member, name) -> when it knew
+        self.late = 0.0         # ms of the machine's time by which an alarm was late at the most since it was asked
+
+    def call(self, order):
+        return getattr(self, "do_" + order.pop("do"))(**order)
+
+    def do_build(self, layout, numbers, rate, loss, shaped, sockets):
+        """Answers what importing the control part costs, in MB: each real process pays that by itself."""
+        layout["ways"] = tuple(layout["ways"])
+        self.layout = Layout(**layout)
+        self.clock = StretchedClock(self.loop, rate)
+        limits = operator_limits(sockets)
+        self.carrier = Carrier(self.loop, limits, self.log)
+        rng = random.Random(f"{self.layout.seed}/shape {numbers[0]}")
+        self.shape = Shape(self.layout, self.clock, rng, loss) if shaped else None
+        servers = [Seen(f"s{number:04d}", self.clock) for number in range(self.layout.servers)]
+        servers += [Seen(f"change-{change}", None) for change in range(self.layout.changes)]
+        self.servers = {server.name: server for server in servers}
+        gc.collect()
+        before = memory_mb()
+        import wheathill.peers.instance         # noqa: F401
+        self.imported = memory_mb() - before
+        self.members = {number: Hollow(self, number) for number in numbers}
+        gc.collect()
+        self.empty = memory_mb()
+        return self.imported
+
+    def log(self, event, **fields):
+        self.counts[f"{event} {fields.get('what', '')}"] += 1
+
+    def do_start(self, numbers, together=False):
+        for number in numbers:
+            self.members[number].start(range(self.layout.members) if together else None)
+        return self.clock.now()
+
+    def do_kill(self, numbers):
+        for number in numbers:
+            if number in self.members:
+                self.members[number].kill()
+        return self.clock.now()
+
+    def do_gone(self, names):
+        """All are told whose death is to be timed."""
+        now = self.clock.now()
+        self.gone.update(dict.fromkeys(names, now))
+        return now
+
+    def do_cut(self, region):
+        self.shape.set_cut(region)
+        return self.clock.now()
+
+    def do_change(self, number, change):
+        """The member's own list says that a server drains."""
+        hollow = self.members[number]
+        phase, born = hollow.peers.on_entry(f"change-{change}", Phase.DRAINING, 0.0)
+        hollow.told_of(f"change-{change}", Phase.DRAINING, 0.0)
+        return self.clock.now()
+
+    def running(self):
+        return [hollow for hollow in self.members.values() if hollow.peers is not None]
+
+    def do_figures(self):
+        """Counts so far of each member, and what the process has used."""
+        late, self.late = self.late, 0.0
+        return {"members": {hollow.number: hollow.figures() for hollow in self.running()},
+                "cpu_s": time.process_time(), "now": self.clock.now(), "late_ms": late}
+
+    def do_memory(self):
+        gc.collect()
+        return {"each_mb": self.imported + (memory_mb() - self.empty) / max(1, len(self.running())),
+                "members": len(self.running())}
+
+    def watch(self, due):
+        now = self.loop.time()
+        self.late = max(self.late, (now - due) * 1000)
+        self.loop.call_at(now + 0.5, self.watch, now + 0.5)
+
+    def do_sight(self, names=None):
+        """How many of this process's members know as many as there are, by zones where they know zones, and agree."""
+        found = Counter()
+        for hollow in self.running():
+            facts = hollow.peers.facts
+            found["members"] += 1
+            found["agreed"] += facts.state == "agreed"
+            found["cut off"] += facts.state == "cut off"
+            found["know all"] += len(facts.there) + 1 == names[self.layout.zone(hollow.number)]
+        return found
+
+    def do_views(self, births):
+        """Views against the truth, `births` of all that run by name: how many members are right, and the first few that
+        are not, with how many they lack and how many they wrongly count as there."""
+        wrong, right = [], 0
+        for hollow in self.running():
+            there = {member.name: member.birth for member in hollow.peers.membership.alive()}
+            meant = {name: birth for name, birth in births.items() if not self.layout.zoned or
+                     self.layout.zone(self.layout.number(name)) == self.layout.zone(hollow.number)}
+            lacks = sum(there.get(name) != birth for name, birth in meant.items())
+            extra = sum(births.get(name) != birth for name, birth in there.items())
+            right += not (lacks or extra)
+            if lacks or extra:
+                wrong.append([hollow.name, lacks, extra])
+        return {"right": right, "wrong": wrong[:5]}
+
+    def do_judged(self):
+        return {"told": {hollow.number: {server: when for server, (when, _) in hollow.told.items()}
+                         for hollow in self.running()},
+                "began": {hollow.number: hollow.began for hollow in self.running()},
+                "shares": list(self.shares.items()),
+                "known": [[member, name, when - self.gone[name]] for (member, name), when in self.known.items()],
+                "counts": self.counts, "shaped": self.shape.counts if self.shape else {}}
+
+
+def operator_limits(sockets):
+    """A proxy's limits as its file would give them."""
+    file = operator.file_of({"name": "p", "listen": "127.0.0.1:1", "listener": [{"name": "all"}], "discovery":
+                             "127.0.0.1:2", "limits": {"sockets": sockets}})
+    from wheathill.config import node_of, surroundings
+    return node_of(operator.platform_form(file), surroundings({})).limits
+
+
+async def serve():
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: crew.log(
+        "fault", what=repr(context.get("exception") or context["message"])))
+    crew = Crew(loop)
+    crew.watch(loop.time())
+    reader = asyncio.StreamReader(limit=2 ** 26)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        try:
+            answer = {"answer": crew.call(json.loads(line))}
+        except Exception as wrong:
+            answer = {"wrong": repr(wrong)}
+        data = memoryview(json.dumps(answer).encode() + b"\n")
+        while data:
+            data = data[os.write(1, data):]
+
+
+def main():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wheathill/lab/scale/layout.py
@@ -0,0 +1,110 @@
+"""Who is where in a fleet under test: names, addresses, zones and regions, and how far they are apart. Every process
+of a run works out the same from the same few numbers."""
+
+import random
+import socket
+from dataclasses import dataclass, fields
+
+from wheathill.config import Misconfigured
+from wheathill.config.peers import Told
+
+PORT = 19_700
+SEEDS = 3
+A_HOST = 250            # members for each of the third numbers of an address
+
+
+@dataclass(frozen=True)
+class Layout:
+    """`members` over `zones` in turn, and zones over `regions` in turn. `net`: second number of all addresses.
+    `part`: of a way between two, one way, in ms: within a zone, within a region, least and most between regions."""
+
+    members: int
+    zones: int
+    regions: int
+    net: int
+    seed: int
+    period: float
+    patience: float
+    servers: int
+    changes: int
+    zoned: bool
+    ways: tuple = (0.5, 2.5, 40.0, 100.0)
+
+    def name(self, number):
+        return f"p{number:04d}"
+
+    def number(self, name):
+        return int(name[1:])
+
+    def zone(self, number):
+        return number % self.zones
+
+    def region(self, number):
+        return self.zone(number) % self.regions
+
+    def host(self, number):
+        return f"127.{self.net}.{number // A_HOST}.{number % A_HOST + 1}"
+
+    def number_at(self, host):
+        _, _, third, last = host.split(".")
+        return int(third) * A_HOST + int(last) - 1
+
+    def where(self, number):
+        return self.host(number), PORT
+
+    def address(self, number):
+        return f"{self.host(number)}:{PORT}"
+
+    def birth(self, number, start):
+        """No two processes have one; `start` counts those under this name."""
+        return random.Random(f"{self.seed}/{number}/birth {start}").getrandbits(48) | 1
+
+    def told(self, number):
+        """As the operator's file would tell it. Zone and region where a proxy can be told of them."""
+        more = {"zone": f"z{self.zone(number) + 1}", "region": f"r{self.region(number) + 1}"} if self.zoned else {}
+        return Told(name=self.name(number), cluster="scale", listen=self.where(number), advertise=self.address(number),
+                    seeds=tuple(self.address(seed) for seed in range(min(SEEDS, self.members))),
+                    key=b"the scale test's own key", roster=(), control=None, period=self.period,
+                    patience=self.patience, **more)
+
+    def distance(self):
+        """(region, region) -> ms one way, the same in every process of a run; within one the region's own."""
+        _, near, least, most = self.ways
+        rng = random.Random(f"{self.seed}/ways")
+        found = {(region, region): near for region in range(self.regions)}
+        for one in range(self.regions):
+            for other in range(one):
+                found[one, other] = found[other, one] = rng.uniform(least, most)
+        return found
+
+
+def can_be_zoned():
+    return {"zone", "region"} <= {field.name for field in fields(Told)}
+
+
+def region_of(text, layout):
+    """The number of region `rN`; raises Misconfigured."""
+    for region in range(layout.regions):
+        if text == f"r{region + 1}":
+            return region
+    raise Misconfigured(f"--cut: {text!r} is none of r1 to r{layout.regions}")
+
+
+def zone_of(text, layout):
+    for zone in range(layout.zones):
+        if text == f"z{zone + 1}":
+            return zone
+    raise Misconfigured(f"--kill-zone: {text!r} is none of z1 to z{layout.zones}")
+
+
+def free_net(first):
+    """(second number of loopback addresses that no other run uses, the socket that holds it)."""
+    for step in range(200):
+        net = 20 + (first + step) % 200
+        held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            held.bind((f"127.{net}.255.254", PORT))
+            return net, held
+        except OSError:
+            held.close()
+    raise Misconfigured("no loopback addresses are free")
--- a/wheathill/peers/links.py
+++ b/wheathill/peers/links.py
@@ -48,7 +48,8 @@
         self.rates = OrderedDict()  # address -> [messages left, when]
         self.dropped = {}           # reason -> how often
         self.logged = {}            # reason -> when last
-        self.sent = self.taken = self.bytes = 0
+        self.sent = self.taken = 0   # messages
+        self.bytes = self.bytes_in = 0      # of frames: sent, and come, damaged ones with them
         self.door = carrier.listen(lambda wire: Inward(self, wire), listen, self.room)
         self.post = carrier.datagrams(self, listen)
 
@@ -108,6 +109,7 @@
 
     def received(self, data, came_from):
         """A datagram; `came_from` is (host, port)."""
+        self.bytes_in += len(data)
         address = f"{came_from[0]}:{came_from[1]}"
         if not self.allowed(address):
             return self.drop("too often", address)
@@ -157,7 +159,8 @@
             self.log("peers: dropped", why=reason, came_from=address, so_far=self.dropped[reason])
 
     def figures(self):
-        return {"sent": self.sent, "taken": self.taken, "bytes": self.bytes, "dropped": dict(self.dropped)}
+        return {"sent": self.sent, "taken": self.taken, "bytes": self.bytes, "bytes_in": self.bytes_in,
+                "dropped": dict(self.dropped)}
 
 
 def parts(address):
@@ -221,6 +224,7 @@
         self.birth = 0          # of the process at the other end
 
     def received(self, data):
+        self.links.bytes_in += len(data)
         self.rest += data
         try:
             while (length := self.links.seal.length(self.rest, Links.FRAME)) is not None and len(self.rest) >= length:
@@ -261,7 +265,9 @@
         links.inward[self] = None
 
     def connected(self):
-        self.wire.send(self.links.seal.close(0, [HELLO]))
+        hello = self.links.seal.close(0, [HELLO])
+        self.links.bytes += len(hello)
+        self.wire.send(hello)
         self.set_timer(Links.STANDS, self.end)
 
     def received(self, data):
