lab scale honest and slope: hollow against real proxies, fits, and a size told before it is run

Tests of the small forms: sixty hollow proxies with losses, a region cut off and restarts; what stands between them; judges and fits; nothing left after SIGKILL of the tool.

--- /dev/null
+++ b/tests/test_scale_fleet.py
@@ -0,0 +1,317 @@
+"""Scale tests in their small form: sixty hollow proxies on loopback sockets with losses and a region cut off, what judges
+them, what stands between them, and that nothing is left of them."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from wheathill.config import Misconfigured
+from wheathill.lab.scale import fit, fleet, honest, judge
+from wheathill.lab.scale.hollow import StretchedClock, operator_limits
+from wheathill.lab.scale.layout import PORT, Layout, free_net, region_of
+from wheathill.lab.scale.shape import Shape, ShapedCarrier
+from wheathill.net.driver import Carrier
+from wheathill.net.machine import Machine
+
+WANTED = ("members", "zones", "regions", "change_in_force_s", "death_known_s", "largest_sum_of_shares", "not_reached",
+          "bytes_per_s", "core_share", "memory_mb")
+SPREADS = ("bytes_per_s", "core_share", "memory_mb", "change_in_force_s", "death_known_s")
+
+
+def command(*more):
+    return [sys.executable, "-m", "wheathill", "lab", "scale", "fleet", *map(str, more)]
+
+
+def layout(members=6, zones=6, regions=3, ways=(0.5, 2.5, 40.0, 100.0)):
+    return Layout(members, zones, regions, 1, 1, 1000.0, 300.0, 0, 1, False, ways)
+
+
+# Runs
+
+@pytest.fixture(scope="module")
+def run(tmp_path_factory):
+    """Sixty members, a hundredth of the datagrams lost, a region cut off, restarts: (exit code, object, what was said)."""
+    path = tmp_path_factory.mktemp("scale") / "found.json"
+    done = subprocess.run(command("--members", 60, "--zones", 6, "--regions", 3, "--seconds", 24, "--loss", 0.01, "--cut",
+                                  "r2", "--churn", 3, "--seed", 5, "--processes", 4, "--json", path),
+                          capture_output=True, text=True, timeout=180)
+    return done.returncode, json.loads(path.read_text()), done.stderr
+
+
+def test_a_run_tells_all_that_is_wanted(run):
+    _, found, said = run
+    assert all(key in found for key in WANTED), said
+    assert (found["members"], found["zones"], found["regions"]) == (60, 6, 3)
+    for key in SPREADS:
+        assert 0 < found[key]["p50"] <= found[key]["p99"] <= found[key]["max"], key
+    assert found["restarts"] == 3 and found["deaths"] == 1 and found["running"] == 59
+
+
+def test_shares_never_sum_past_the_whole_and_nothing_is_told_otherwise(run):
+    _, found, _ = run
+    assert 0.5 < found["largest_sum_of_shares"] <= 1.0 + fleet.ROUNDING
+    assert found["told_otherwise"] == 0 and not [key for key in found["counts"] if key.startswith("fault")]
+
+
+def test_faults_had_effect_and_are_counted(run):
+    _, found, _ = run
+    shaped = found["shaped"]
+    assert shaped["datagrams cut off"] > 10 and shaped["datagrams delayed"] > 1000
+    passed = shaped["datagrams lost"] + shaped["datagrams delayed"]
+    assert 0.003 < shaped["datagrams lost"] / passed < 0.03
+
+
+def test_a_change_reaches_those_that_can_be_reached(run):
+    _, found, _ = run
+    assert found["change_in_force_s"]["p50"] < fleet.WITHIN
+    assert found["deaths_not_known"] == 0 and found["death_known_s"]["p50"] < fleet.WITHIN
+
+
+def test_the_exit_code_says_whether_all_held(run):
+    code, found, said = run
+    assert code == (1 if found["breaches"] else 0)
+    assert all(breach in said for breach in found["breaches"])
+
+
+def test_all_known_from_the_start_and_a_stretched_time(tmp_path):
+    """Views that are given are the ones that would be found; two seconds of the machine are one of the fleet's."""
+    start = time.monotonic()
+    plan = fleet.Plan(members=20, zones=4, regions=2, seconds=10.0, known=True, rate=2.0, faults=False, processes=2,
+                      servers=0, changes=0, shaped=False)
+    found = fleet.play(plan)
+    assert time.monotonic() - start > 2.0 * 0.5 * plan.seconds
+    assert found["settled_s"] < 1.0 and found["agreed_at_rest"] == found["views_right"] == 20
+    assert 1.0 < found["messages_per_s"]["mean"] < 12.0 and found["rate_of_time"] == 2.0
+
+
+def test_nothing_is_left_of_a_run_that_is_killed():
+    tool = subprocess.Popen(command("--members", 24, "--zones", 2, "--regions", 1, "--seconds", 60, "--processes", 3),
+                            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def children():
+        try:
+            with open(f"/proc/{tool.pid}/task/{tool.pid}/children") as told:
+                return [int(child) for child in told.read().split()]
+        except OSError:
+            return []
+    try:
+        wait_for(lambda: len(children()) == 3)
+        here = children()
+        tool.send_signal(signal.SIGKILL)
+        tool.wait()
+        wait_for(lambda: not any(os.path.exists(f"/proc/{child}") for child in here))
+    finally:
+        tool.kill()
+        tool.wait()
+
+
+def wait_for(test, seconds=30.0):
+    until = time.monotonic() + seconds
+    while not test():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize("more, said", [
+    (("--cut", "r9"), "--cut: 'r9' is none of r1 to r2"), (("--kill-zone", "x"), "--kill-zone: 'x' is none of z1 to z3"),
+    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss")])
+def test_bad_options_name_themselves(more, said):
+    done = subprocess.run(command("--members", 9, "--zones", 3, "--regions", 2, "--seconds", 5, *more),
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and said in done.stderr
+
+
+def test_hollow_proxies_say_what_real_ones_say():
+    """In a few seconds; that they cost the same within 15% is measured by `lab scale honest`."""
+    found = honest.compare(6, 1, 5.0, 8.0, 1, lambda text: None)
+    assert found["real"]["agreed"] == found["hollow"]["agreed"] == 6
+    assert abs(found["apart"]["messages_per_s"]) < 0.25 and abs(found["apart"]["bytes_per_s"]) < 0.5
+
+
+# Judges
+
+def test_the_largest_sum_counts_what_changes_at_one_moment_together():
+    assert judge.largest_sum([(1, 0.5), (2, 0.5), (3, -0.5), (3, 0.5), (4, -1.0)]) == 1.0
+    assert judge.largest_sum([(2, 0.75), (1, 0.5), (3, -0.75)]) == 1.25
+
+
+def test_a_change_is_late_or_lacked_only_by_those_that_could_have_had_it():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0)        # members 1 and 4
+    told = {0: {"c": 12.0}, 1: {"c": 33.0}, 2: {"c": 19.5}, 3: {}, 4: {"c": 45.0}, 5: {}}
+    began = {0: 0.0, 1: 0.0, 2: 0.0, 3: 0.0, 4: 40.0, 5: 47.0}
+    found = judge.changes_in_force({"c": (0, 12.0)}, told, began, cut, 50.0, 6.0)
+    assert sorted(found["in_force"]) == [0.0, 3.0, 5.0, 7.5]
+    assert found["lacked"] == [3] and found["late"] == 1 and found["open"] == 1
+
+
+def test_a_death_across_a_cut_is_known_once_the_cut_is_over():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0)
+    known = {(0, 2): 12.5, (1, 2): 34.0, (4, 2): 11.0}
+    took, never = judge.deaths_known(known, {2: 11.0}, {0: 0.0, 1: 0.0, 3: 0.0, 4: 0.0, 5: 20.0}, cut, lambda *_: True)
+    assert sorted(took) == [0.0, 1.5, 4.0] and never == 1
+
+
+def test_a_spread_of_nothing_tells_nothing():
+    assert judge.spread([])["p99"] is None
+    assert judge.spread(range(1, 101)) == {"mean": 50.5, "p50": 51, "p99": 100, "max": 100}
+
+
+@pytest.mark.parametrize("form, figure", [("constant", lambda n: 7.0), ("log", lambda n: 2 + 3 * fit.FORMS["log"](n)),
+                                          ("linear", lambda n: 5 + 0.25 * n), ("square", lambda n: 1 + 1e-4 * n * n)])
+def test_a_fit_finds_the_form_and_tells_the_next(form, figure):
+    best = fit.fits([(n, figure(n)) for n in (50, 100, 400, 800)])[0]
+    assert best.residual < 1e-6 and best.at(2800) == pytest.approx(figure(2800))
+    if form != "constant":
+        assert best.form == form
+
+
+# Between members
+
+class End(Machine):
+    def __init__(self, loop, limits, clock):
+        super().__init__(None, limits, clock)
+        self.loop, self.came, self.over = loop, [], loop.create_future()
+        self.up = loop.create_future()
+
+    def connected(self):
+        self.up.set_result(self.loop.time())
+
+    def received(self, data, _came_from=None):
+        self.came.append((self.loop.time(), bytes(data)))
+
+    def ended(self):
+        self.over.set_result(False)
+
+    def lost(self, reset):
+        if not self.over.done():
+            self.over.set_result(self.wire.refused)
+
+
+class Two:
+    """Two members in regions of their own, 40 to 100 ms apart one way, behind one shape."""
+
+    def __init__(self, loop, loss=0.0):
+        net, self.held = free_net(os.getpid() + 100)
+        self.layout = Layout(2, 2, 2, net, 1, 1000.0, 300.0, 0, 0, False)
+        self.clock = StretchedClock(loop, 1.0)
+        self.limits = operator_limits(1024)
+        self.carrier = Carrier(loop, self.limits, lambda *_, **__: None)
+        self.shape = Shape(self.layout, self.clock, random.Random(1), loss)
+        self.one, self.other = (ShapedCarrier(self.carrier, self.shape, number) for number in (0, 1))
+        self.ends = [End(loop, self.limits, self.clock) for _ in range(3)]
+        self.loop = loop
+
+    def close(self):
+        self.held.close()
+
+
+def between(test, loss=0.0):
+    async def play():
+        two = Two(asyncio.get_running_loop(), loss)
+        try:
+            await asyncio.wait_for(test(two), 20.0)
+        finally:
+            two.close()
+    asyncio.run(play())
+
+
+def connect(two, machine):
+    machine.wire = two.one.connect(machine, two.layout.where(1), two.layout.host(0))
+
+
+def test_a_connection_is_up_after_there_and_back_and_refused_as_late():
+    async def test(two):
+        start, (one, other, far) = two.loop.time(), two.ends
+        connect(two, one)
+        assert await one.over is True           # nobody listens yet
+        assert two.loop.time() - start > 0.08
+
+        def met(wire):
+            far.wire = wire
+            return far
+        door = two.other.listen(met, two.layout.where(1), lambda: True)
+        start = two.loop.time()
+        connect(two, other)
+        assert await other.up - start > 0.08
+        other.wire.send(b"a", b"b")
+        other.wire.send(b"c")
+        while b"".join(data for _, data in far.came) != b"abc":
+            await asyncio.sleep(0.01)
+        assert far.came[0][0] - start > 0.12
+        other.wire.abort()
+        assert await far.over is False
+        door.close()
+    between(test)
+
+
+def test_across_a_cut_an_attempt_gets_no_answer_and_no_refusal_until_it_is_over():
+    async def test(two):
+        one, post = two.ends[0], two.one.datagrams(two.ends[1], two.layout.where(0))
+        there = two.other.datagrams(two.ends[2], two.layout.where(1))
+        two.shape.set_cut(1)
+        connect(two, one)
+        post.send(b"lost", two.layout.where(1))
+        await asyncio.sleep(0.5)
+        assert not one.up.done() and not one.over.done() and not two.ends[2].came
+        assert two.shape.counts["connection attempts cut off"] == two.shape.counts["datagrams cut off"] == 1
+        two.shape.set_cut(None)
+        post.send(b"again", two.layout.where(1))
+        assert await one.over is True           # its next attempt, a second after the first, is refused
+        assert [data for _, data in two.ends[2].came] == [b"again"]
+        post.close()
+        there.close()
+    between(test)
+
+
+def test_a_stream_across_a_cut_holds_what_is_on_it_and_keeps_its_order():
+    async def test(two):
+        one, far = two.ends[0], two.ends[1]
+
+        def met(wire):
+            far.wire = wire
+            return far
+        door = two.other.listen(met, two.layout.where(1), lambda: True)
+        connect(two, one)
+        await one.up
+        two.shape.set_cut(1)
+        for part in (b"1", b"2", b"3"):
+            one.wire.send(part)
+        await asyncio.sleep(0.3)
+        assert not far.came
+        two.shape.set_cut(None)
+        one.wire.send(b"4")
+        while len(b"".join(data for _, data in far.came)) < 4:
+            await asyncio.sleep(0.01)
+        assert b"".join(data for _, data in far.came) == b"1234"
+        one.wire.abort()
+        door.close()
+    between(test)
+
+
+def test_losses_take_their_share_and_delay_streams():
+    async def test(two):
+        post = two.one.datagrams(two.ends[1], two.layout.where(0))
+        for _ in range(1000):
+            post.send(b"x", two.layout.where(1))
+        lost = two.shape.counts["datagrams lost"]
+        assert 200 < lost < 300 and two.shape.counts["datagrams delayed"] == 1000 - lost
+        assert 150.0 < sum(two.shape.again(100) for _ in range(1000)) / 1000 * 2 < 500.0
+        post.close()
+    between(test, loss=0.25)
+
+
+def test_regions_and_zones_are_dealt_in_turn():
+    told = layout(members=31, zones=5, regions=2)
+    assert [told.zone(number) for number in range(6)] == [0, 1, 2, 3, 4, 0]
+    assert [told.region(number) for number in range(5)] == [0, 1, 0, 1, 0]
+    assert all(told.number_at(told.host(number)) == number for number in (0, 249, 250, 2799))
+    assert told.told(3).listen == (told.host(3), PORT)
+    with pytest.raises(Misconfigured, match="--cut"):
+        region_of("r3", told)
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -47,4 +47,68 @@
     sys.exit(1 if found["breaches"] else 0)
 
 
-COMMANDS = {"fleet": fleet}
+@click.command()
+@click.option("--members", type=click.IntRange(3, 200), default=30, show_default=True)
+@click.option("--before", type=float, default=30.0, show_default=True, help="seconds until they count as at rest")
+@click.option("--rest", type=float, default=40.0, show_default=True, help="seconds that are measured")
+@click.option("--processes", type=click.IntRange(1, 200), default=2, show_default=True, help="that share the hollow ones")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
+def honest(members, before, rest, processes, seed, json_path):
+    """Measure hollow proxies against real ones; exit with 1 where they are more than 15% apart."""
+    from wheathill.lab.scale import fleet as runs
+    from wheathill.lab.scale.honest import compare
+    found = compare(members, seed, before, rest, processes, say)
+    if json_path:
+        runs.keep(found, json_path)
+    for name, apart in found["apart"].items():
+        click.echo(f"{name:<16} real {found['real'][name]:>12.4f}  hollow {found['hollow'][name]:>12.4f}  {apart:+.1%}")
+    sys.exit(0 if found["honest"] else 1)
+
+
+def numbers(context, parameter, text):
+    try:
+        found = [int(part) for part in text.split(",")]
+    except ValueError:
+        raise click.BadParameter("numbers with commas between") from None
+    if len(found) < 2 or found != sorted(found) or found[0] < 2 or found[-1] > 10_000:
+        raise click.BadParameter("two or more, each larger than the one before, from 2 to 10,000")
+    return found
+
+
+def stretched(context, parameter, texts):
+    try:
+        return {int(size): float(rate) for size, _, rate in (text.partition("=") for text in texts)}
+    except ValueError:
+        raise click.BadParameter("SIZE=RATE") from None
+
+
+@click.command()
+@click.option("--sizes", callback=numbers, required=True, help="N1,N2,...: the last is predicted from the others")
+@click.option("--zones", type=click.IntRange(1, 1000), default=15, show_default=True)
+@click.option("--regions", type=click.IntRange(1, 1000), default=6, show_default=True)
+@click.option("--seconds", type=click.FloatRange(5.0, 86_400.0), default=100.0, show_default=True,
+              help="of a run, in the fleet's time; at rest from 0.3 to 0.5 of it")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
+@click.option("--stretch", "stretches", multiple=True, callback=stretched, metavar="SIZE=RATE",
+              help="seconds of the machine in one of the fleet's, for a size; may be repeated")
+@click.option("--servers", type=click.IntRange(0), default=64, show_default=True, help="that each has just seen")
+@click.option("--processes", type=click.IntRange(1, 200), help="that share the members")
+@click.option("--known", is_flag=True, help="all know each other from the start")
+@click.option("--zoned/--flat", "zoned", default=None, help="whether members are told their zone, where they can be")
+def slope(sizes, json_path, stretches, **told):
+    """Measure several sizes at rest, fit how the figures grow, and predict the largest before it is run."""
+    from wheathill.lab.scale import fleet as runs
+    from wheathill.lab.scale import slope as slopes
+    plan = runs.Plan(members=sizes[-1], faults=False, changes=0, **told)
+    found = slopes.play(sizes, plan, stretches, say)
+    if json_path:
+        runs.keep(found, json_path)
+    for line in slopes.lines(found["runs"]):
+        click.echo(line)
+    for name, error in found["error"].items():
+        click.echo(f"{sizes[-1]}, {name}: predicted {found['predicted'][name]:.6g}, {error:+.1%} from measured")
+
+
+COMMANDS = {"fleet": fleet, "honest": honest, "slope": slope}
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -102,7 +102,7 @@
             await self.rest()
             if plan.faults:
                 await self.faults()
-            await self.until(plan.seconds)
+                await self.until(plan.seconds)
             return await self.judged()
         finally:
             await self.crews.end()
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -3,14 +3,14 @@
 
 
 def spread(values, digits=4):
-    """{"p50", "p99", "max"} by nearest rank, of None where there are no values."""
+    """{"mean", "p50", "p99", "max"}, these by nearest rank, of None where there are no values."""
     ordered = sorted(values)
     if not ordered:
-        return {"p50": None, "p99": None, "max": None}
+        return {"mean": None, "p50": None, "p99": None, "max": None}
 
     def rank(share):
         return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], digits)
-    return {"p50": rank(0.50), "p99": rank(0.99), "max": round(ordered[-1], digits)}
+    return {"mean": round(sum(ordered) / len(ordered), digits), "p50": rank(0.50), "p99": rank(0.99), "max": round(ordered[-1], digits)}
 
 
 def largest_sum(changes):
