--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -95,6 +95,7 @@
               help="seconds of the machine in one of the fleet's, for a size; may be repeated")
 @click.option("--servers", type=click.IntRange(0), default=64, show_default=True, help="that each has just seen")
 @click.option("--processes", type=click.IntRange(1, 200), help="that share the members")
+@click.option("--rest", type=float, help="seconds measured at rest; a fifth of all where left out")
 @click.option("--known", is_flag=True, help="all know each other from the start")
 @click.option("--zoned/--flat", "zoned", default=None, help="whether members are told their zone, where they can be")
 def slope(sizes, json_path, stretches, **told):
--- a/wheathill/lab/scale/crew.py
+++ b/wheathill/lab/scale/crew.py
@@ -53,6 +53,12 @@
         return await asyncio.gather(*(self.ask(worker, {"do": do, "numbers": part, **order})
                                       for worker, part in zip(self.workers, parts) if part))
 
+    async def start(self, known):
+        """All of them; where they know each other from the start, those of the first process as fully as after a while."""
+        return await asyncio.gather(*(
+            self.ask(worker, {"do": "start", "numbers": numbers, "together": known, "full": known and not place})
+            for place, (worker, numbers) in enumerate(zip(self.workers, self.numbers))))
+
     async def of(self, do, number, **order):
         return await self.ask(self.workers[number % len(self.workers)], {"do": do, "number": number, **order})
 
--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -162,7 +162,11 @@
 
     def send(self, *parts):
         if not self.over:
-            self.carry(True, self.wire.send, b"".join(parts))
+            self.carry(True, self.put, b"".join(parts))
+
+    def put(self, data):
+        if self.wire.open and not self.wire.transport.is_closing():
+            self.wire.send(data)
 
     def abort(self, reset=False):
         """What has been sent arrives before."""
