--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -17,10 +17,12 @@
 
 
 class Shape:
-    """Of one process. `clock` is the fleet's; `cut`: the region that is cut off, or None."""
+    """Of one process. `clock` is the fleet's; `cut`: the region that is cut off, or None. `prompt`: what is sent here is
+    not delayed, as that would wake up the process once more for each message, and its cost is to be told."""
 
-    def __init__(self, layout, clock, rng, loss):
+    def __init__(self, layout, clock, rng, loss, prompt=False):
         self.layout, self.clock, self.random, self.loss = layout, clock, rng.random, loss
+        self.prompt = prompt
         self.cut = None
         self.counts = Counter()
         self.distance = layout.distance()
@@ -32,11 +34,15 @@
 
     def wait(self, one, other):
         """ms for this message from one to the other."""
+        if self.prompt:
+            return 0.0
         near = self.layout.zone(one) == self.layout.zone(other)
         far = self.layout.ways[0] if near else self.distance[self.layout.region(one), self.layout.region(other)]
         return far * (1.0 + JITTER * self.random())
 
     def at(self, when, call, *args):
+        if self.prompt and when <= self.clock.now():
+            return call(*args)
         tick = math.ceil(when)
         if tick in self.ticks:
             self.ticks[tick].append((call, args))
