--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -14,7 +14,7 @@
 
 from wheathill.config import Misconfigured
 from wheathill.lab.scale import fit, fleet, honest, judge
-from wheathill.lab.scale.hollow import StretchedClock, operator_limits
+from wheathill.lab.scale.hollow import StretchedClock, idle_node
 from wheathill.lab.scale.layout import PORT, Layout, free_net, region_of
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
 from wheathill.net.driver import Carrier
@@ -201,7 +201,7 @@
         net, self.held = free_net(os.getpid() + 100)
         self.layout = Layout(2, 2, 2, net, 1, 1000.0, 300.0, 0, 0, False)
         self.clock = StretchedClock(loop, 1.0)
-        self.limits = operator_limits(1024)
+        self.limits = idle_node(1024).limits
         self.carrier = Carrier(loop, self.limits, lambda *_, **__: None)
         self.shape = Shape(self.layout, self.clock, random.Random(1), loss)
         self.one, self.other = (ShapedCarrier(self.carrier, self.shape, number) for number in (0, 1))
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -151,10 +151,14 @@
         await self.until(self.now() + (plan.rest or 0.2 * plan.seconds))
         after = await self.crews.all("figures")
         took, bytes_s, messages_s, share, alone = [], [], [], [], []
+        spent = [(other["cpu_s"] - one["cpu_s"]) / (other["now"] - one["now"]) * 1000
+                 for one, other in zip(before, after)]
         for place, (one, other, idle) in enumerate(zip(before, after, self.idle)):
             seconds = (other["now"] - one["now"]) / 1000
             took.append(seconds)
-            each = max(0.0, (other["cpu_s"] - one["cpu_s"]) / seconds - idle) / max(1, len(other["members"]))
+            # Beside those that are alone, and in the process without members, runs a proxy without sessions.
+            idle = spent[-1] if place < self.crews.alone else idle
+            each = max(0.0, spent[place] - idle) / max(1, len(other["members"]))
             for number, (sent, taken, out, come) in other["members"].items():
                 old = one["members"][number]
                 bytes_s.append((out + come - old[2] - old[3]) / seconds)
@@ -162,12 +166,15 @@
                 (alone if place < self.crews.alone else share).append(each)
         *memory, nobody = await self.crews.all("memory")
         if self.crews.alone:
-            each = [found["all"] - nobody["all"] for found in memory[:self.crews.alone]]
+            memory = memory[:self.crews.alone]
+            each = [found["all"] - nobody["all"] for found in memory]
         else:
             each = [(found["all"] - found["empty"]) / found["members"] for found in memory]
+        used = [(found["used"] - nobody["used"]) / found["members"] for found in memory]
         self.found |= {
             "bytes_per_s": judge.spread(bytes_s, 1), "messages_per_s": judge.spread(messages_s, 2),
-            "core_share": judge.spread(alone or share, 6), "core_share_shared": judge.spread(share, 6), "memory_mb": judge.spread(each, 3),
+            "core_share": judge.spread(alone or share, 6), "core_share_shared": judge.spread(share, 6), "memory_mb": judge.spread(used, 4),
+            "resident_mb": judge.spread(each, 3),
             "rest_s": round(max(took), 2), "late_ms": round(max(found["late_ms"] for found in after), 1)}
         self.say(f"at rest: {self.found['bytes_per_s']['p50']} bytes/s, {100 * self.found['core_share']['mean']:.3f}% of a core "
                  f"({100 * self.found['core_share_shared']['mean']:.3f}% where they share processes), "
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -6,22 +6,27 @@
 """
 
 import asyncio
-import json
 import os
 import random
 import resource
-import sys
+import tempfile
 import time
 from collections import Counter
 
-# What a proxy without peers has loaded as well; `wheathill.peers` is imported once its cost can be told.
-from wheathill.config import operator       # noqa: F401
+import orjson
+
+# What a proxy without peers has loaded as well, and no more: `wheathill.peers` is imported once its cost can be told.
+import wheathill.cli        # noqa: F401
+import wheathill.daemon     # noqa: F401
+from wheathill.config import operator
 from wheathill.lab.scale.layout import Layout
+from wheathill.lab.scale.memory import allocated_mb, resident_mb
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
 from wheathill.model import Phase
 from wheathill.net.clock import Clock
 from wheathill.net.driver import Carrier
-from wheathill.net.proxy import Proxy       # noqa: F401
+from wheathill.net.log import Log
+from wheathill.net.proxy import Proxy
 
 FRESH = 500.0       # ms since a server was last heard, where the proxy sees it
 
@@ -182,6 +187,8 @@
             self.crew.counts["told with another content"] += 1
 
     def log(self, event, **fields):
+        if self.crew.log_line:
+            self.crew.log_line(event, **fields)
         if event == "peer" and fields["state"] in ("dead", "left") and fields["peer"] in self.crew.gone:
             self.crew.known.setdefault((self.name, fields["peer"]), self.clock.now())
         elif event in ("fault", "peers: dropped"):
@@ -192,18 +199,13 @@
         return [links.sent, links.taken, links.bytes, links.bytes_in]
 
 
-def memory_mb(process="self"):
-    """Its own resident memory: pages of files, as of the libraries, are those of all processes."""
-    with open(f"/proc/{process}/status") as status:
-        return next(int(line.split()[1]) / 1024 for line in status if line.startswith("RssAnon"))
-
-
 class Crew:
     """All hollow proxies of this process."""
 
     def __init__(self, loop):
         self.loop = loop
         self.counts = Counter()
+        self.log_line = None
         self.shares = {}        # fleet's ms -> by how much the sum of the shares changed then
         self.gone = {}          # name -> when it was killed for good
         self.known = {}         # (member, name) -> when it knew
@@ -216,8 +218,13 @@
         layout["ways"] = tuple(layout["ways"])
         self.layout = Layout(**layout)
         self.clock = StretchedClock(self.loop, rate)
-        limits = operator_limits(sockets)
-        self.carrier = Carrier(self.loop, limits, self.log)
+        node = idle_node(sockets)
+        self.carrier = Carrier(self.loop, node.limits, self.log)
+        if prompt:
+            # Beside a proxy without sessions, as a real one: what that costs is taken off.
+            self.log_line = Log(node.name, node.limits.log_lines, os.open(os.devnull, os.O_WRONLY))
+            self.proxy = Proxy(node, self.carrier, self.clock, self.log_line)
+            self.proxy.start()
         rng = random.Random(f"{self.layout.seed}/process {numbers[:1]}")
         self.random = rng.random
         self.shape = Shape(self.layout, self.clock, rng, loss, prompt) if shaped else None
@@ -225,7 +232,7 @@
         servers += [Seen(f"change-{change}", None) for change in range(self.layout.changes)]
         self.servers = {server.name: server for server in servers}
         self.members = {}
-        self.empty = memory_mb()
+        self.empty = resident_mb()
         if numbers:
             # A process without members stands for a proxy without peers, and has none of this.
             global Peer
@@ -275,8 +282,8 @@
                 "cpu_s": time.process_time(), "now": self.clock.now(), "late_ms": late}
 
     def do_memory(self):
-        """In MB, of the whole process and before it had members."""
-        return {"all": memory_mb(), "empty": self.empty, "members": len(self.running())}
+        """In MB: resident, the same before it had members, and in use."""
+        return {"all": resident_mb(), "empty": self.empty, "used": allocated_mb(), "members": len(self.running())}
 
     def watch(self, due):
         now = self.loop.time()
@@ -318,12 +325,25 @@
                 "counts": self.counts, "shaped": self.shape.counts if self.shape else {}}
 
 
-def operator_limits(sockets):
-    """A proxy's limits as its file would give them."""
-    file = operator.file_of({"name": "p", "listen": "127.0.0.1:1", "listener": [{"name": "all"}], "discovery":
-                             "127.0.0.1:2", "limits": {"sockets": sockets}})
-    from wheathill.config import node_of, surroundings
-    return node_of(operator.platform_form(file), surroundings({})).limits
+FILE = """
+name = "p"
+listen = "127.0.0.1:1"
+limits = {{ sockets = {} }}
+[[listener]]
+name = "all"
+[[server]]
+name = "s"
+address = "127.0.0.1:1"
+"""
+
+
+def idle_node(sockets):
+    """Read as a proxy reads its file, with a server that it never needs: what that takes of memory and gives back again is
+    there for what comes after."""
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(FILE.format(sockets))
+        file.flush()
+        return operator.read(file.name)
 
 
 async def serve():
@@ -332,16 +352,30 @@
         "fault", what=repr(context.get("exception") or context["message"])))
     crew = Crew(loop)
     crew.watch(loop.time())
-    reader = asyncio.StreamReader(limit=2 ** 26)
-    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    while line := await reader.readline():
-        try:
-            answer = {"answer": crew.call(json.loads(line))}
-        except Exception as wrong:
-            answer = {"wrong": repr(wrong)}
-        data = memoryview(json.dumps(answer).encode() + b"\n")
-        while data:
-            data = data[os.write(1, data):]
+    over = asyncio.Event()
+    rest = bytearray()
+
+    def read():
+        data = os.read(0, 65536)
+        rest.extend(data)
+        if not data:
+            over.set()
+        while (end := rest.find(b"\n")) >= 0:
+            order = bytes(rest[:end])
+            del rest[:end + 1]
+            answer(crew, order)
+    loop.add_reader(0, read)
+    await over.wait()
+
+
+def answer(crew, order):
+    try:
+        told = {"answer": crew.call(orjson.loads(order))}
+    except Exception as wrong:
+        told = {"wrong": repr(wrong)}
+    data = memoryview(orjson.dumps(told, option=orjson.OPT_NON_STR_KEYS | orjson.OPT_APPEND_NEWLINE))
+    while data:
+        data = data[os.write(1, data):]
 
 
 def main():
--- a/wheathill/lab/scale/honest.py
+++ b/wheathill/lab/scale/honest.py
@@ -2,6 +2,7 @@
 machine; the real ones are `wheathill daemon FILE`, and what one without peers needs is taken off."""
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -11,13 +12,15 @@
 
 from wheathill.config import Misconfigured
 from wheathill.lab.scale import fleet
-from wheathill.lab.scale.hollow import memory_mb
 from wheathill.lab.scale.layout import Layout, free_net
+from wheathill.lab.scale.memory import resident_mb
 from wheathill.lab.worlds.processes import dies_with_the_lab, toml
 from wheathill.peers.show import ask
 
 BASES = 4               # real ones without peers
 WITHIN = 0.15
+# Of the memory what is in use: the few hundred KB of thirty members are less than what a start takes and gives back.
+HELD = ("messages_per_s", "bytes_per_s", "core_share", "memory_mb")
 START = 30.0            # s for a daemon to answer, on a busy machine
 
 
@@ -34,9 +37,11 @@
         path = os.path.join(folder, f"{name}.toml")
         with open(path, "w") as out:
             out.write("\n".join(toml(values)) + "\n")
-        self.process = subprocess.Popen([sys.executable, "-m", "wheathill", "daemon", path], stdout=subprocess.DEVNULL,
-                                        stderr=subprocess.DEVNULL, env={**os.environ, "TMPDIR": folder},
-                                        preexec_fn=dies_with_the_lab)
+        self.process = subprocess.Popen([sys.executable, "-m", "wheathill.lab.scale.memory", "daemon", path],
+                                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                                        preexec_fn=dies_with_the_lab,
+                                        env={**os.environ, "TMPDIR": folder, "ALLOCATED": path + ".allocated"})
+        self.allocated = path + ".allocated"
 
     def cpu_s(self):
         """Of all its threads, by the scheduler's own count."""
@@ -46,6 +51,14 @@
                 total += int(stat.read().split()[0])
         return total / 1e9
 
+    def used_mb(self):
+        self.process.send_signal(signal.SIGUSR1)
+        until = time.monotonic() + START
+        while not os.path.exists(self.allocated) and time.monotonic() < until:
+            time.sleep(0.01)
+        with open(self.allocated) as told:
+            return float(told.read())
+
     def links(self):
         return ask(self.control, {})["links"]
 
@@ -79,7 +92,8 @@
             used = [(one.cpu_s() - old) / took for one, old in zip(reals, spent)]
             last = [one.links() for one in peers]
             state = [ask(one.control, {})["state"] for one in peers]
-            memory = [memory_mb(one.process.pid) for one in reals]
+            memory = [resident_mb(one.process.pid) for one in reals]
+            in_use = [one.used_mb() for one in reals]
         finally:
             for one in reals:
                 one.process.kill()
@@ -90,8 +104,9 @@
             "bytes_per_s": mean((new["bytes"] + new["bytes_in"] - old["bytes"] - old["bytes_in"]) / took
                                 for old, new in zip(first, last)),
             "core_share": mean(used[:members]) - base,
-            "memory_mb": mean(memory[:members]) - median(memory[members:]),
-            "agreed": state.count("agreed"), "base_core_share": base, "base_memory_mb": median(memory[members:])}
+            "memory_mb": mean(in_use[:members]) - median(in_use[members:]),
+            "resident_mb": mean(memory[:members]) - median(memory[members:]),
+            "agreed": state.count("agreed"), "base_core_share": base, "base_resident_mb": median(memory[members:])}
 
 
 def await_all(reals, until):
@@ -111,7 +126,7 @@
     plan = fleet.Plan(members=members, zones=1, regions=1, seconds=before / 0.3, seed=seed, rest=rest, servers=0,
                       changes=0, shaped=False, faults=False, zoned=False, processes=processes)
     found = fleet.play(plan, say)
-    return {**{name: found[name]["mean"] for name in ("messages_per_s", "bytes_per_s", "core_share", "memory_mb")},
+    return {**{name: found[name]["mean"] for name in (*HELD, "resident_mb")},
             "core_share_shared": found["core_share_shared"]["mean"], "agreed": found["agreed_at_rest"]}
 
 
@@ -119,7 +134,7 @@
     one = real(members, seed, before, rest, say)
     other = hollow(members, seed, before, rest, processes, say)
     apart = {name: other[name] / one[name] - 1.0
-             for name in ("messages_per_s", "bytes_per_s", "core_share", "memory_mb")}
+             for name in (*HELD, "resident_mb")}
     return {"members": members, "seed": seed, "rest_s": rest, "real": one, "hollow": other,
             "apart": {name: round(value, 4) for name, value in apart.items()},
-            "honest": all(abs(value) <= WITHIN for value in apart.values())}
+            "honest": all(abs(apart[name]) <= WITHIN for name in HELD)}
