--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,481 @@
+"""A fleet of zones: the board, delegates, parts of a limit, and whole fleets in the virtual world under faults."""
+
+import random
+import tomllib
+
+import pytest
+
+from test_peers import dropped
+from wheathill.config import Misconfigured, operator
+from wheathill.config.peers import Layout, Zone
+from wheathill.lab.cores.fleets import Fleet
+from wheathill.peers.board import Board
+from wheathill.peers.facts import AGREED, CUT_OFF, DOUBT
+from wheathill.peers.frames import Seal
+from wheathill.peers.membership import ALIVE, COMPARE, STATE, WANT, Membership
+from wheathill.peers.zoned import ZonedPeers
+from wheathill.peers.zones import Zones, check
+
+WALL = 1_800_000_000_000.0
+KEY = b"k" * 32
+SUMMARY = [AGREED, 3, 3, "ab", [], 1, [["a", "127.0.0.1:1"]]]
+
+
+def board(zones=("e", "w")):
+    return Board(zones, check)
+
+
+# The board
+
+
+def test_the_order_of_arrival_changes_nothing():
+    records = [[f"s/{server}", WALL + start, counter, "", [bool(counter % 2), WALL + counter]]
+               for server in "abc" for start in (0.0, 5.0) for counter in (1, 2, 3)]
+    records += [["z/e", 0, counter, writer, SUMMARY] for counter in (1, 2) for writer in ("x", "y")]
+    digests = {}
+    for seed in range(50):
+        one = board()
+        random.Random(seed).shuffle(records)
+        for record in records:
+            one.merge(WALL, [record])
+        digests[one.digest, str(sorted(one.records.items()))] = None
+    assert len(digests) == 1
+    assert one.records["s/a"][1:3] == [WALL + 5.0, 3] and one.records["z/e"][2:4] == [2, "y"]
+    for key in list(one.records):
+        one.drop(key)
+    assert one.digest == 0 and not any(one.sums)
+
+
+def test_what_differs_is_told_both_ways_and_no_more():
+    one, other = board(), board()
+    same = [[f"s/g{place}", WALL, 1, "", [True, WALL]] for place in range(300)]
+    one.merge(WALL, same)
+    other.merge(WALL, same)
+    one.merge(WALL, [["s/mine", WALL, 1, "", [True, WALL]], ["s/g7", WALL, 2, "", [False, WALL]]])
+    other.merge(WALL, [["s/theirs", WALL, 1, "", [True, WALL]]])
+    buckets = other.differing(one.sums)
+    said = other.within(buckets)
+    back = one.ahead(buckets, said)
+    assert [record[0] for record in back] == ["s/g7", "s/mine"] and len(said) < 60
+    assert [record[0] for record in one.merge(WALL, said)] == ["s/theirs"]
+    assert len(other.merge(WALL, back)) == 2 and one.digest == other.digest and one.sums == other.sums
+
+
+@pytest.mark.parametrize("record", [
+    ["s/a", WALL, 1, ""], ["s/a", WALL, -1, "", [True, WALL]], ["s/a", WALL, 1.5, "", [True, WALL]],
+    ["s/a", WALL, 1, 7, [True, WALL]], ["s/a", WALL, 1, "", [True]], ["s/a", -5.0, 1, "", [True, WALL]],
+    ["t/a", WALL, 1, "", [True, WALL]], ["z/unknown", 0, 1, "x", SUMMARY], ["z/e", 4, 1, "x", SUMMARY],
+    ["z/e", 0, 1, "x", SUMMARY[:-1]], ["z/e", 0, 1, "x", ["well", *SUMMARY[1:]]],
+    ["z/e", 0, 1, "x", [*SUMMARY[:-1], [["a", "nowhere"]]]], ["z/e", 0, 1, "x", [*SUMMARY[:-1], [["a", "h:99999"]]]]])
+def test_what_is_no_record_holds_nothing_of_its_message(record):
+    one = board()
+    with pytest.raises((ValueError, TypeError)):
+        one.merge(WALL, [["s/good", WALL, 1, "", [True, WALL]], record])
+    assert not one.records and one.digest == 0
+
+
+def test_lists_that_say_the_same_make_the_same_records():
+    boards = [board() for _ in range(4)]
+    told = [each.list_says(WALL + place, "g", True, WALL - 5.0) for place, each in enumerate(boards)]
+    assert all(told) and len({each.digest for each in boards}) == 1
+    for each in boards:         # told of one another, it is no news
+        assert each.merge(WALL, told) == []
+    assert all(each.list_says(WALL + 10.0, "g", False, WALL - 5.0) for each in boards)
+    assert len({each.digest for each in boards}) == 1 and not boards[0].drains("g", WALL - 5.0)
+
+
+def test_drains_come_back_only_by_something_newer():
+    one, other = board(), board()
+    told = one.list_says(WALL, "g", True, 5.0)
+    assert other.merge(WALL, [told]) and other.drains("g", 5.0) and not other.drains("g", 6.0)
+    assert other.list_says(WALL, "g", False, 5.0) is None and other.drains("g", 5.0)    # its list is late
+    assert other.list_says(WALL, "g", True, 5.0) is None        # agrees with what was told
+    again = one.list_says(WALL, "g", False, 5.0), one.list_says(WALL, "g", True, 5.0)
+    assert other.merge(WALL, again)                             # over, and another drain
+    assert other.list_says(WALL, "g", False, 5.0) is None and other.drains("g", 5.0)
+    assert other.merge(WALL, [told]) == [] and other.drains("g", 5.0)   # late, or again
+    assert one.list_says(WALL, "g", False, 5.0) and not one.drains("g", 5.0)
+    start = one.list_says(WALL, "g", False, WALL - 1000.0)
+    assert start[1:3] == [WALL - 1000.0, 0] and other.merge(WALL, [start])
+    assert not other.drains("g", 5.0) or other.start("g", 5.0) == WALL - 1000.0
+
+
+def test_starts_of_the_future_and_long_ago_are_none():
+    one = board()
+    assert one.list_says(WALL, "g", False, WALL + one.AHEAD + 1) is None
+    assert one.list_says(WALL, "g", False, WALL - one.STARTED - 1) is None
+    assert one.merge(WALL, [["s/g", WALL + one.AHEAD + 1, 0, "", [False, WALL]]]) == []
+    assert one.list_says(WALL, "g", False, WALL - 1.0) and one.start("g", None) == WALL - 1.0
+    one.forget(WALL + one.STARTED)
+    assert not one.records and one.digest == 0
+
+
+def test_of_too_many_the_oldest_go_at_all_alike(monkeypatch):
+    monkeypatch.setattr(Board, "MOST", 20)
+    records = [[f"s/g{place}", WALL + place, 1, "", [True, WALL + place]] for place in range(60)]
+    digests = {}
+    for seed in range(10):
+        random.Random(seed).shuffle(records)
+        one = board(("e",))
+        for record in records:
+            one.merge(WALL, [record])
+        one.merge(WALL, [["z/e", 0, 1, "x", SUMMARY]])
+        digests[one.digest] = None
+        assert len(one.records) <= 22
+    assert len(digests) == 1
+
+
+# Delegates and summaries
+
+
+def layout(parts, was=None, version=1):
+    was = was or parts
+    return Layout(version, tuple(Zone(name, name[0], 4, (f"127.0.0.1:{place + 1}",), parts[name], was[name])
+                                 for place, name in enumerate(parts)))
+
+
+def zones(own="e", parts=None, was=None, version=1, held=None):
+    chance = random.Random(1)
+    held = held or board(parts or ("e", "w"))
+    return Zones(0.0, layout(parts or {"e": 0.5, "w": 0.5}, was, version), own, f"{own}1 5", held, 1000.0,
+                 chance.shuffle, chance.choice)
+
+
+def test_equal_views_choose_alike_and_a_death_promotes_the_next():
+    members = [(f"m{place}", place * 7, f"127.0.0.1:{place}") for place in range(187)]
+    one, shuffled = zones(), list(members)
+    random.Random(3).shuffle(shuffled)
+    chosen = one.delegates(members)
+    assert len(chosen) == 3 and one.delegates(shuffled) == chosen
+    without = [member for member in members if member != chosen[0]]
+    assert one.delegates(without)[:2] == chosen[1:]
+    assert one.delegates([]) == []
+
+
+def test_two_that_take_themselves_for_first_write_ever_more_seldom():
+    held = board()
+    one, other = zones(held=held), zones(held=held)
+    other.writer = "e2 6"
+    written = []
+    for second in range(600):
+        for each, at_work in ((one, 3), (other, 4)):
+            if each.write(second * 1000.0, [AGREED, at_work, *SUMMARY[2:]]):
+                written.append(second)
+    assert len(written) < 40 and sum(second >= 300 for second in written) < 12
+    assert one.write(601_000.0, held.summary("e")[1]) is None       # nothing new
+
+
+def test_zones_are_out_of_reach_by_silence_and_stay_so_over_a_change_of_delegates():
+    one = zones(parts={"e": 0.4, "w": 0.3, "v": 0.3})
+    assert one.out_of_reach(14_000.0) == [] and len(one.due(1000.0)) == 2
+    one.spoke(10_000.0, "w")
+    assert one.out_of_reach(16_000.0) == ["v"]
+    one.write(16_000.0, [AGREED, 3, 3, "ab", ["v"], 1, []])
+    assert one.state("w", AGREED) == DOUBT and one.region_state(AGREED) == AGREED      # nothing told of it yet
+    next_one = zones(parts={"e": 0.4, "w": 0.3, "v": 0.3}, held=one.board)
+    next_one.listen(16_500.0)
+    assert next_one.out_of_reach(17_000.0) == ["v"]
+    next_one.spoke(17_500.0, "v")
+    assert next_one.out_of_reach(18_000.0) == []
+    one.write(30_000.0, [AGREED, 3, 3, "ab", ["v", "w"], 1, []])
+    assert one.region_state(AGREED) == CUT_OFF and one.fleet_state(AGREED) == DOUBT
+
+
+# Limits
+
+
+def test_rights_of_all_zones_sum_to_no_more_than_the_whole_rounded_up():
+    for seed in range(200):
+        chance = random.Random(seed)
+        cuts = sorted(chance.random() for _ in range(chance.randint(0, 14)))
+        parts = {f"z{place}": after - before for place, (before, after) in enumerate(zip([0.0, *cuts], [*cuts, 1.0]))}
+        each = [zones(name, parts) for name in parts]
+        whole = chance.choice((0.2, 0.9, 1.0, 3.7, 40.0))
+        for server in range(20):
+            total = sum(one.rounded(f"g{server}", whole * one.own.part) for one in each)
+            assert whole - 1 - 1e-6 <= total <= whole + 1 + 1e-6, (seed, total)
+    one = zones("e", {"e": 0.25, "w": 0.75})
+    assert abs(sum(one.rounded(f"g{server}", 0.25 * 1.2) for server in range(4000)) / 4000 - 0.3) < 0.03
+
+
+def through(held, zone, version):
+    value = [AGREED, 4, 4, "ab", [], version, []]
+    held.write_summary(zone, "x", value)
+
+
+def test_a_part_grows_only_once_those_that_give_are_through():
+    parts, was = {"e": 0.2, "v": 0.3, "w": 0.5}, {"e": 0.4, "v": 0.3, "w": 0.3}
+    held = board(parts)
+    giving, taking, other = (zones(name, parts, was, 2, held) for name in ("e", "w", "v"))
+    assert (giving.part(), taking.part(), other.part()) == (0.2, 0.3, 0.3)
+    through(held, "w", 2)
+    through(held, "e", 1)
+    assert taking.part() == 0.3
+    through(held, "e", 2)
+    assert (giving.part(), taking.part(), other.part()) == (0.2, 0.5, 0.3)
+
+
+def test_a_layout_that_is_behind_takes_nothing():
+    held = board()
+    one = zones(version=2, held=held)
+    through(held, "e", 2)
+    assert one.part() == 0.5
+    one.told_layout(3)
+    assert one.part() == 0.5
+    through(held, "e", 3)               # its own zone is through with a later one
+    assert one.part() == 0.0
+    other = zones(version=2)
+    other.told_layout(4)
+    assert other.part() == 0.0
+
+
+# Whole states only as differences
+
+
+class Wire:
+    """What a membership calls for, kept."""
+
+    def __init__(self):
+        self.said = []
+
+    def send(self, address, words):
+        self.said.append((address, words))
+
+    def alarm(self, at, what):
+        pass
+
+    def knock(self, *args):
+        pass
+
+    changed = log = alarm
+
+
+def member(name, known):
+    wire = Wire()
+    one = Membership(wire, random.Random(name), name, f"{name}:1", 1, period=1000.0, patience=300.0, helpers=3,
+                     kept=60_000.0, sync_every=10_000.0, differences=True)
+    one.hear(0.0, [[ALIVE, other, f"{other}:1", 0, 2, other] for other in known])
+    return one, wire
+
+
+def test_states_that_are_the_same_cost_one_digest_a_bucket():
+    names = [f"m{place}" for place in range(187)]
+    one, wire = member("x", names)
+    other, answers = member("y", names)
+    for each, name in ((one, "y"), (other, "x")):
+        each.hear(0.0, [[ALIVE, name, f"{name}:1", 0, 1, name]])
+    one.meet(other.me)
+    (to, words), = wire.said
+    assert to == "y:1" and words[0] == COMPARE and len(words[1]) == Membership.BUCKETS
+    other.on_message(1.0, "x:1", words)
+    assert answers.said == []
+    one.hear(0.0, [[ALIVE, "new", "new:1", 0, 9, "new"]])
+    other.on_message(2.0, "x:1", [COMPARE, one.sums()])
+    assert [words[0] for _, words in answers.said] == [STATE, WANT]
+    assert 1 < len(answers.said[0][1][1]) < 40
+    one.on_message(3.0, "y:1", answers.said[1][1])
+    for _, words in [item for item in wire.said if item[1][0] == STATE]:
+        other.on_message(4.0, "x:1", words)
+    assert "new" in other.members and one.sums() == other.sums()
+
+
+# Fleets
+
+
+def small(seed, **more):
+    fleet = Fleet({"a1": ("a", 5), "a2": ("a", 4), "b1": ("b", 5), "c1": ("c", 4)}, seed, **more)
+    fleet.start_all()
+    return fleet
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.01, 0.25])
+def test_all_agree_and_a_change_is_in_force_everywhere(loss):
+    fleet = small(1, loss=loss)
+    fleet.run(2)
+    assert fleet.until(fleet.all_agree, 20) is not None
+    assert abs(fleet.largest - 1.0) < 1e-9 and fleet.over == []
+    since = fleet.change("g1", "b1-2")
+    fleet.run(6)
+    times = fleet.in_force("g1", since)
+    assert len(times) == 17 and max(times) < 6.0        # all but the one that was told by its list
+    assert {peers.board.digest for peers in fleet.peers.values()} == {fleet.peers["a1-0"].board.digest}
+
+
+def test_a_region_that_is_cut_off_goes_on_as_a_region_and_both_sides_meet_again():
+    fleet = small(2, loss=0.1)
+    fleet.run(5)
+    region = fleet.of_region("a")
+    rest = [name for name in fleet.peers if name not in region]
+    before = {name: peers.shared for name, peers in fleet.peers.items()}
+    fleet.cut(region)
+    fleet.run(30)
+    assert {state[1] for state in fleet.states(region)} == {CUT_OFF}
+    assert {state[0] for state in fleet.states()} == {AGREED}
+    assert {state[1:] for state in fleet.states(rest)} == {(AGREED, DOUBT)}
+    assert {name: peers.shared for name, peers in fleet.peers.items()} == before
+    inside, outside = fleet.change("in", region[0]), fleet.change("out", rest[0])
+    fleet.run(6)
+    assert len(fleet.in_force("in", inside, region)) == len(region) - 1 and not fleet.in_force("in", inside, rest)
+    assert len(fleet.in_force("out", outside, rest)) == len(rest) - 1 and not fleet.in_force("out", outside, region)
+    assert all(peers.listens(other) for other in region[:4] for peers in [fleet.peers[region[4]]])
+    fleet.cut(region, False)
+    healed = fleet.clock.now()
+    fleet.run(6)
+    assert len(fleet.in_force("in", healed, rest)) == len(rest)
+    assert len(fleet.in_force("out", healed, region)) == len(region)
+    assert fleet.until(fleet.all_agree, 20) is not None and fleet.over == []
+
+
+def test_a_whole_zone_restarted_knows_what_was_told_before():
+    fleet = small(3)
+    fleet.run(4)
+    fleet.change("g", "c1-0")
+    fleet.run(2)
+    for name in fleet.names["a1"]:
+        fleet.kill(name)
+    fleet.run(20)
+    assert fleet.peers["b1-0"].zones.at_work(5) == 18       # nobody's death says that its part is free
+    for name in fleet.names["a1"]:
+        fleet.start(name)
+    fleet.run(8)
+    assert all(fleet.peers[name].board.drains("g", 0.0) for name in fleet.names["a1"])
+    assert fleet.until(fleet.all_agree, 20) is not None and fleet.over == []
+
+
+def test_two_sets_of_delegates_while_a_zone_is_parted_in_itself():
+    fleet = small(4)
+    fleet.run(4)
+    some = fleet.names["b1"][:2]
+    fleet.cut(some)
+    fleet.run(30)
+    sets = {tuple(name for name, _, _ in fleet.peers[name].delegates()) for name in fleet.names["b1"]}
+    assert len(sets) == 2
+    fleet.cut(some, False)
+    assert fleet.until(fleet.all_agree, 30) is not None and fleet.over == []
+
+
+def test_one_zone_far_larger_than_the_rest():
+    fleet = Fleet({"big": ("r", 60), "x": ("r", 2), "y": ("s", 2), "z": ("s", 1)}, 5, loss=0.05)
+    fleet.start_all()
+    fleet.run(4)
+    assert fleet.until(fleet.all_agree, 60) is not None and fleet.over == []
+    since = fleet.change("g", "z-0")
+    fleet.run(6)
+    assert len(fleet.in_force("g", since)) == 64
+    rates = fleet.rates(10)
+    assert max(rates[name][0] for name in ("x-0", "y-0", "z-0")) < 3000
+
+
+def test_what_an_ordinary_member_says_does_not_grow_with_the_number_of_zones():
+    found = []
+    for count in (2, 8):
+        fleet = Fleet({f"z{place}": (f"r{place}", 6) for place in range(count)}, 6)
+        fleet.start_all()
+        fleet.run(30)
+        assert fleet.all_agree()
+        rates = fleet.rates(20)
+        ordinary = [rate for name, (rate, _) in rates.items()
+                    if name not in [each for each, _, _ in fleet.peers[name].delegates()]]
+        found.append(sum(ordinary) / len(ordinary))
+    assert found[1] < 1.15 * found[0], found
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sums_never_pass_the_whole_and_all_meet_again(seed):
+    """Processes killed and started, zones lost, regions and parts of zones cut off, and a part moved meanwhile."""
+    fleet = small(seed, loss=(0.0, 0.05, 0.25)[seed % 3])
+    fleet.run(3)
+    fleet.trouble(20)
+    parts = dict(zip(fleet.zones, (0.1, 0.4, 0.2, 0.3)))
+    was = {zone.name: zone.part for zone in fleet.layouts[1].zones}
+    fleet.layouts[2] = fleet.layout(2, parts, was)
+    order = list(fleet.zone_of)
+    fleet.random.shuffle(order)
+    for place, name in enumerate(order):        # each gets its file, and is started anew if it runs
+        fleet.files[name] = 2
+        if name in fleet.peers:
+            fleet.kill(name)
+            fleet.clock.after(200.0, fleet.start, name)
+        if place % 3 == 0:
+            fleet.trouble(1)
+    fleet.trouble(10)
+    fleet.run(40)       # cuts are over by then, and all have come back
+    assert fleet.over == [], fleet.over[:3]
+    assert len(fleet.peers) == 18 and fleet.until(fleet.all_agree, 30) is not None, fleet.states()
+    for name, peers in fleet.peers.items():
+        assert abs(peers.zones.part() - parts[fleet.zone_of[name]]) < 1e-9
+    assert abs(sum(peers.shared for peers in fleet.peers.values()) - 1.0) < 1e-9
+
+
+# Frames and files
+
+
+def test_instances_with_and_without_zones_refuse_each_other():
+    one, other = Seal("c", KEY, "a", 1), Seal("c", KEY, "b", 2)
+    one.VERSION = ZonedPeers.VERSION
+    assert dropped(other.open, one.close(2, ["x"])) == "another version"
+    assert dropped(one.open, other.close(1, ["x"])) == "another version"
+
+
+FILE = """
+name = "p1"
+listen = "127.0.0.1:9000"
+discovery = "127.0.0.1:8500"
+[[listener]]
+name = "l"
+[fleet]
+proxies = 6
+[peers]
+cluster = "c"
+listen = "127.0.0.1:9700"
+key_file = "/nowhere"
+zone = "e"
+layout = 2
+[[peers.zones]]
+name = "e"
+region = "r"
+proxies = 4
+seeds = ["127.0.0.1:9700"]
+part = 0.6
+was = 0.7
+[[peers.zones]]
+name = "w"
+proxies = 2
+seeds = ["127.0.0.1:9800"]
+part = 0.4
+was = 0.3
+"""
+
+
+def test_the_layout_of_a_file():
+    from wheathill.config.peers import layout_of
+    file = operator.file_of(tomllib.loads(FILE))
+    found = layout_of(file.peers)
+    assert found.version == 2 and [(zone.name, zone.region, zone.part, zone.was) for zone in found.zones] == [
+        ("e", "r", 0.6, 0.7), ("w", "w", 0.4, 0.3)]
+    bare = tomllib.loads(FILE)
+    for zone in bare["peers"]["zones"]:
+        del zone["part"], zone["was"]
+    assert [zone.part for zone in layout_of(operator.file_of(bare).peers).zones] == [4 / 6, 2 / 6]
+    del bare["peers"]["zone"], bare["peers"]["zones"]
+    assert layout_of(operator.file_of(bare).peers) is None
+
+
+@pytest.mark.parametrize("change, key", [
+    (('zone = "e"', ''), "peers.zone: is missing"),
+    (('zone = "e"', 'zone = "x"'), "peers.zone: 'x'"),
+    (('name = "w"', 'name = "e"'), "peers.zones[1].name: 'e'"),
+    (('seeds = ["127.0.0.1:9800"]', 'seeds = []'), "peers.zones[1].seeds: is empty"),
+    (('seeds = ["127.0.0.1:9800"]', 'seeds = ["127.0.0.1:99999"]'), "peers.zones[1].seeds[0]"),
+    (('part = 0.4', ''), "peers.zones: part is told of some"),
+    (('was = 0.3', 'was = 0.5'), "peers.zones: was sums to 1.2"),
+    (('part = 0.4', 'part = 1.4'), "peers.zones[1].part"),
+    (('proxies = 2', 'proxies = 3'), "fleet.proxies: is 6, and the proxies of peers.zones are 7"),
+    (('layout = 2', 'layout = 0'), "peers.layout"),
+    (('layout = 2', 'roster = ["p1"]'), "peers.roster"),
+    (('region = "r"', 'regio = "r"'), "peers.zones[0].regio: no such key; did you mean region?")])
+def test_a_layout_that_can_not_be_used_names_its_key(change, key):
+    assert FILE.count(change[0]) == 1
+    with pytest.raises(Misconfigured) as wrong:
+        operator.file_of(tomllib.loads(FILE.replace(*change)))
+    assert key in str(wrong.value)
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -91,6 +91,17 @@
     nines_full: Annotated[float, Meta(gt=0, le=1000)] = 3.0
 
 
+class ZoneTable(Table):
+    """One zone of a fleet of several, told alike to all instances."""
+
+    name: Name
+    proxies: Count
+    seeds: list[Address]
+    region: Name | None = None
+    part: Share | None = None           # of every limit over all; by `proxies` where left out
+    was: Share | None = None            # its part by the layout before this one
+
+
 class Peers(Table):
     """The other instances, where this one is to know them."""
 
@@ -104,6 +115,9 @@
     control: Annotated[str, Meta(min_length=1)] | None = None
     period_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0
     patience_ms: Annotated[float, Meta(ge=10, le=60_000)] = 300.0
+    zone: Name | None = None            # its own, of `zones`
+    layout: Annotated[int, Meta(ge=1, le=1_000_000)] = 1        # the version of `zones`
+    zones: Annotated[list[ZoneTable], Meta(max_length=64)] = []
 
 
 class File(Table):
--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -47,11 +47,11 @@
 def join(proxy, carrier, clock, log):
     """No two processes of one name may be taken for one another, whatever seed their file gives them: the number
     that tells them apart is the system's."""
-    from wheathill.peers.instance import Peers
+    from wheathill.peers import instance_of
     node = proxy.node
     try:
-        proxy.peers = Peers(node.peers, proxy, carrier, clock, log, int.from_bytes(os.urandom(6), "big") | 1,
-                            node.balancer["proxies"])
+        proxy.peers = instance_of(node.peers)(
+            node.peers, proxy, carrier, clock, log, int.from_bytes(os.urandom(6), "big") | 1, node.balancer["proxies"])
     except OSError as wrong:
         if node.listen_fd is None:
             raise Misconfigured(f"peers: {wrong}") from None
--- a/wheathill/lab/scripts/language.py
+++ b/wheathill/lab/scripts/language.py
@@ -89,6 +89,7 @@
     restart_s: Seconds | None = 1.0
     peers: bool = False     # processes only: they know one another
     roster: bool = False
+    zoned: bool = False     # whole views within a zone only; each zone is a region of its own
     seeds: Many = 3
     meant: Annotated[int, Meta(ge=1, le=100_000)] | None = None     # as the file says; the count where left out
     period_ms: Annotated[float, Meta(ge=50, le=60_000)] = 200.0
@@ -120,6 +121,7 @@
     false_ms: Ms = 2000.0       # no longer is one held dead that answered before, or only stands still
     told_ms: Ms = 1000.0        # until all that can be reached know of a drain
     known_ms: Ms = 8000.0       # until a death is known to all that can know it
+    apart_ms: Ms = 8000.0       # until a zone says that it is cut off from all others
 
 
 class FrontTable(Table):
@@ -263,6 +265,10 @@
                         ("desk", script.desk)):
         for name in dict.fromkeys(name for place, name in enumerate(names) if name in names[:place]):
             yield f"{what}: {name!r} stands twice"
+    if script.proxies.zoned and (not script.proxies.peers or script.proxies.roster):
+        yield "proxies.zoned: needs proxies.peers, without a roster"
+    if script.proxies.zoned and script.proxies.count < len(script.zones):
+        yield "proxies.zoned: a zone is without proxies"
     if not script.zones:
         yield "zones: names none"
     listeners = {item.name for item in script.listener}
--- a/wheathill/lab/worlds/outside.py
+++ b/wheathill/lab/worlds/outside.py
@@ -4,6 +4,14 @@
 VIEW_MS = 250.0         # how often each instance is asked what it believes
 
 
+def parts_of(names, zone_of):
+    """(zone, the names in it) each, in the order of zones."""
+    found = {}
+    for name in names:
+        found.setdefault(zone_of[name], []).append(name)
+    return sorted(found.items())
+
+
 class Outside:
     """A part of a world whose `ways` join its instances. A seat has `running`, `paused` and `ask`."""
 
@@ -18,6 +26,7 @@
         self.record.note("believes", proxy=seat.name, name=found["name"], alone=found["alone"],
                          dropped=found["links"]["dropped"], state=found["state"], digest=found["digest"],
                          fleet=found["fleet"], share=found["share"], differs=len(found["differs"]),
+                         **{key: found[key] for key in ("region_state", "fleet_state") if key in found},
                          members={member["name"]: member["state"] for member in found["members"]})
 
     def watch(self):
--- a/wheathill/lab/worlds/seat.py
+++ b/wheathill/lab/worlds/seat.py
@@ -50,10 +50,10 @@
 
     def join(self, node, carrier):
         """As `daemon.join`, but that the number of its birth comes from the seed."""
-        from wheathill.peers.instance import Peers
+        from wheathill.peers import instance_of
         birth = random.Random(f"{self.world.seed}/{self.name}/birth {self.starts}").getrandbits(48) | 1
-        self.proxy.peers = Peers(self.told, self.proxy, carrier, self.host.clock, self.log, birth,
-                                 node.balancer["proxies"])
+        self.proxy.peers = instance_of(self.told)(
+            self.told, self.proxy, carrier, self.host.clock, self.log, birth, node.balancer["proxies"])
         if self.odd and self.odd.version:
             self.proxy.peers.seal.VERSION += 1
         self.host.clock.soon(self.proxy.peers.start)
--- a/wheathill/lab/worlds/virtual.py
+++ b/wheathill/lab/worlds/virtual.py
@@ -3,12 +3,12 @@
 
 import random
 
-from wheathill.config.peers import Told
+from wheathill.config.peers import Layout, Told, Zone
 from wheathill.lab.worlds.beside import HeldSeat
 from wheathill.lab.worlds.clock import EPOCH, VirtualClock
 from wheathill.lab.worlds.host import raise_fault
 from wheathill.lab.worlds.network import Links, Network, VirtualCarrier, VirtualHost
-from wheathill.lab.worlds.outside import Outside
+from wheathill.lab.worlds.outside import Outside, parts_of
 from wheathill.lab.worlds.seat import Seat
 from wheathill.net.proxy import Proxy
 from wheathill.policy import Balancer
@@ -56,14 +56,21 @@
             self.ways.addresses[name] = told.listen
         return seat
 
-    def peers_told(self, name, names, proxies, odd):
-        """What an instance is told of its peers."""
+    def peers_told(self, name, zone_of, proxies, odd):
+        """What an instance is told of its peers. `zone_of`: name -> zone, of all."""
+        names = list(zone_of)
         listen = f"{name}.lab", PEERS_PORT
+        layout = None
+        if proxies.zoned:
+            layout = Layout(1, tuple(
+                Zone(zone, zone, len(within), tuple(f"{other}.lab:{PEERS_PORT}" for other in within[:proxies.seeds]),
+                     len(within) / len(names), len(within) / len(names)) for zone, within in parts_of(names, zone_of)))
+            names = [other for other in names if zone_of[other] == zone_of[name]]
         return Told(name=odd and odd.claims or name, cluster=odd and odd.cluster or "lab", listen=listen,
                     advertise="%s:%d" % listen, key=b"another key" if odd and odd.key else b"the lab's own key",
                     seeds=tuple(f"{other}.lab:{PEERS_PORT}" for other in names[:proxies.seeds]),
                     roster=tuple(names) if proxies.roster else (), control=None, period=proxies.period_ms,
-                    patience=proxies.patience_ms)
+                    patience=proxies.patience_ms, zone=zone_of[name] if layout else None, layout=layout)
 
     def slack(self, script):
         """One way and back between the farthest, and the jitter that is seldom passed."""
--- a/wheathill/peers/facts.py
+++ b/wheathill/peers/facts.py
@@ -22,7 +22,7 @@
 class Known:
     """One process that may be at work."""
 
-    __slots__ = ("birth", "state", "digest", "old", "bears")
+    __slots__ = ("birth", "state", "digest", "old", "bears", "layout")
 
     def __init__(self, birth, state):
         self.birth, self.state = birth, state
@@ -30,6 +30,7 @@
         # Whether all agreed on it once. Who is only known by hearsay is taken for one that was there before.
         self.old = True
         self.bears = None       # what a warm server bears of its connections, as it finds
+        self.layout = 0         # the version of the layout of zones that it holds, as last told
 
 
 class Facts:
@@ -50,10 +51,15 @@
         self.old = False                # all have agreed on this one
         self.apart = False              # another holds its name, or it was taken off: nobody counts it
         self.state, self.since = ALONE, now
+        # A digest that all who are reached have told, as one says who has asked them: whoever has the same agrees.
+        self.confirmed = None
+        self.least = 1                  # the smallest number of which a share is taken, whoever is surely gone
+        self.digested = None            # the digest of `there`, until that changes
 
     # What is told
 
     def member(self, now, name, birth, state, certain):
+        self.digested = None
         known = self.there.get(name)
         if known is not None and known.birth != birth:
             if state not in (ALIVE, SUSPECT):
@@ -73,18 +79,20 @@
         while len(self.names) > self.MOST_NAMES:
             self.names.pop(next(other for other in self.names if other != self.name))
 
-    def told(self, name, birth, digest, old, bears):
+    def told(self, name, birth, digest, old, bears, layout=0):
         """What a member says of its own view."""
         known = self.there.get(name)
         if known is not None and known.birth == birth:
-            known.digest, known.old, known.bears = digest, old, bears
+            known.digest, known.old, known.bears, known.layout = digest, old, bears, layout
 
     # What follows
 
     def digest(self):
-        """Of all that may be at work: equal where the views on that agree."""
-        here = sorted([(self.name, self.birth), *((name, known.birth) for name, known in self.there.items())])
-        return hashlib.blake2b(repr(here).encode(), digest_size=6).hexdigest()
+        """Of all that may be at work: equal where the views on that agree. Each message says it, so it is kept."""
+        if self.digested is None:
+            here = sorted([(self.name, self.birth), *((name, known.birth) for name, known in self.there.items())])
+            self.digested = hashlib.blake2b(repr(here).encode(), digest_size=6).hexdigest()
+        return self.digested
 
     def unseen(self):
         """How many are meant to be there and were never heard of."""
@@ -96,17 +104,21 @@
         """The largest number of proxies that may be at work."""
         while self.ended and now - self.ended[0] >= self.aged:
             self.ended.popleft()
-        return 1 + len(self.there) + len(self.ended) + self.unseen()
+        return max(self.least, 1 + len(self.there) + len(self.ended) + self.unseen())
 
     def reached(self):
         return [name for name in sorted(self.there) if self.there[name].state != DEAD]
 
+    def all_told(self):
+        """Whether all that are reached have told the digest that this one has."""
+        mine = self.digest()
+        return all(known.digest == mine for known in self.there.values() if known.state != DEAD)
+
     def look(self, now, unanswered):
         """The state of this view, worked out anew; `since` tells its age."""
         reached = self.reached()
-        mine = self.digest()
         every = 1 + len(self.there) + (self.unseen() if self.roster else 0)
-        same = all(self.there[name].digest == mine for name in reached)
+        same = self.confirmed == self.digest() or self.all_told()
         if len(self.names) == 1:
             state = ALONE
         elif self.apart or unanswered >= self.UNANSWERED or 2 * (1 + len(reached)) <= every and every > 1:
@@ -135,16 +147,18 @@
         if not before:
             return whole
         mine = self.digest()
-        return whole * sum(known.state != DEAD and known.digest == mine for known in before) / len(before)
+        return whole * sum(known.state != DEAD and mine in (known.digest, self.confirmed)
+                           for known in before) / len(before)
 
-    def right(self, server, bears, unit):
+    def right(self, server, bears, unit, rounded=None):
         """Dials in a window that this proxy may send a cold server, which by all together may get `unit` for each
         connection that it bears; of those this proxy finds `bears` to be its own.
 
         Where that is less than one for each proxy, parts of a dial would add up by chance to more. So only as many
         as there are whole dials hold a right, of one dial a window: the first by rendezvous (highest random weight:
         Thaler and Ravishankar 1998) among all that were agreed on once, those out of reach included. Both sides of
-        a split thus name the same, and a death passes on one right alone."""
+        a split thus name the same, and a death passes on one right alone. `rounded(server, whole)`: how many hold one,
+        where this is a part of a larger fleet; rounded down, but to one at least, where left out."""
         before = [name for name in sorted(self.there) if self.there[name].old]
         whole = unit * (bears + sum(bears if known.bears is None else known.bears for known in self.there.values()))
         if self.state == ALONE or not before and not self.old or whole >= 1 + len(before):
@@ -153,4 +167,5 @@
             return 0.0
         ranked = sorted([self.name, *before], key=lambda name: hashlib.blake2b(
             f"{server} {name}".encode(), digest_size=8).digest())
-        return 1.0 if self.name in ranked[:max(1, int(whole))] else 0.0
+        count = max(1, int(whole)) if rounded is None else rounded(server, whole)
+        return 1.0 if self.name in ranked[:count] else 0.0
--- a/wheathill/peers/instance.py
+++ b/wheathill/peers/instance.py
@@ -19,6 +19,14 @@
 DRAINS, STARTS, SEEN, ASK_VIEW, VIEW, NOTE = "drains", "starts", "seen", "view?", "view", "note"
 
 
+def bounded(bears):
+    return min(1e6, max(0.0, float(bears)))
+
+
+def told(share):
+    return f"{share:.3f}" if share >= 0.01 else f"{share:.2g}"
+
+
 class Peers:
     """`told`: a `config.peers.Told`. `birth` is a number that no other process of this name has."""
 
@@ -33,13 +41,13 @@
     def __init__(self, told, proxy, carrier, clock, log, birth, meant):
         self.told, self.proxy, self.clock, self.log_event = told, proxy, clock, log
         rng = random.Random(f"{told.name}/{birth}")
-        self.shuffle = rng.shuffle
+        self.shuffle, self.sample, self.choice = rng.shuffle, rng.sample, rng.choice
         now = clock.now()
         self.seal = Seal(told.cluster, told.key, told.name, birth)
         self.links = Links(carrier, clock, log, self.seal, self.heard, told.listen)
         self.membership = Membership(
             self, rng, told.name, told.advertise, birth, period=told.period, patience=told.patience, helpers=3,
-            kept=60 * told.period, sync_every=10 * told.period)
+            kept=60 * told.period, sync_every=10 * told.period, differences=told.layout is not None)
         others = [seed for seed in told.seeds if seed != told.advertise]
         self.facts = Facts(now, told.name, birth, meant, told.roster, self.AGED,
                            self.SILENCE * told.period if others else 0.0)
@@ -61,7 +69,7 @@
     def start(self):
         now = self.clock.now()
         self.log_event("peers", at=self.told.advertise, cluster=self.told.cluster, seeds=len(self.told.seeds))
-        self.proxy.balancer.cold.rights = lambda server, unit: self.facts.right(server, self.bears(), unit)
+        self.proxy.balancer.cold.rights = self.right
         self.membership.start(now, self.told.seeds)
         self.tick()
 
@@ -78,7 +86,11 @@
         self.say(address, words, bulk=words[0] == STATE)
 
     def say(self, address, words, bulk=False):
-        self.links.send(address, [self.facts.digest(), self.facts.old, round(self.bears(), 2), words], bulk)
+        self.links.send(address, [*self.beliefs(), words], bulk)
+
+    def beliefs(self):
+        """What each message says of this one's view."""
+        return self.facts.digest(), self.facts.old, round(self.bears(), 2)
 
     def bears(self):
         return self.proxy.balancer.levels.borne
@@ -111,31 +123,41 @@
     # Messages
 
     def heard(self, name, birth, address, words):
-        now = self.clock.now()
         try:
-            digest, old, bears, (kind, *rest) = words
-            if address is not None:
-                self.membership.contact(now, name, birth, address)
-            self.facts.told(name, birth, digest, bool(old), min(1e6, max(0.0, float(bears))))
-            if kind == NOTE:
-                pass
-            elif kind == DRAINS:
-                self.apply(self.drains.hear(name, birth, rest[0]))
-            elif kind == STARTS:
-                self.apply(self.starts.hear(self.clock.to_wall(now), rest[0]))
-            elif kind == SEEN:
-                if self.listens(name):
-                    self.witnesses.tell(now, name, rest[0])
-            elif kind == ASK_VIEW:
-                self.say(address, [VIEW, rest[0], self.view()])
-            elif kind == VIEW:
-                self.viewed(rest[0], name, rest[1])
-            else:
-                self.membership.on_message(now, address, [kind, *rest])
+            self.take(self.clock.now(), name, birth, address, words)
         except (ValueError, TypeError, KeyError, IndexError, AttributeError):
             # Of the cluster's key, and yet not of the protocol: that message only.
             self.links.drop("nonsense", address or name)
 
+    def take(self, now, name, birth, address, words):
+        digest, old, bears, (kind, *rest) = words
+        self.meets(now, name, birth, address)
+        self.facts.told(name, birth, digest, bool(old), bounded(bears))
+        if kind == DRAINS:
+            self.apply(self.drains.hear(name, birth, rest[0]))
+        elif kind == STARTS:
+            self.apply(self.starts.hear(self.clock.to_wall(now), rest[0]))
+        else:
+            self.follow(now, name, address, kind, rest)
+
+    def meets(self, now, name, birth, address):
+        if address is not None:
+            self.membership.contact(now, name, birth, address)
+
+    def follow(self, now, name, address, kind, rest):
+        """What is said alike wherever whole views are held."""
+        if kind == NOTE:
+            pass
+        elif kind == SEEN:
+            if self.listens(name):
+                self.witnesses.tell(now, name, rest[0])
+        elif kind == ASK_VIEW:
+            self.say(address, [VIEW, rest[0], self.view()])
+        elif kind == VIEW:
+            self.viewed(rest[0], name, rest[1])
+        else:
+            self.membership.on_message(now, address, [kind, *rest])
+
     def listens(self, name):
         """Evidence counts where this instance is not cut off, and from members that are there."""
         member = self.membership.members.get(name)
@@ -185,11 +207,19 @@
         if state != before:
             self.log_event("peers are", state=state, was=before, after=round(now - since),
                            reached=len(self.facts.reached()), fleet=self.facts.fleet(now))
-        share = self.facts.share(now)
+        share = self.share(now)
         if share != self.shared:
             self.shared = share
             self.proxy.balancer.on_fleet(now, share)
 
+    def share(self, now):
+        """This proxy's part of what all may do together, between 0 and 1."""
+        return self.facts.share(now)
+
+    def right(self, server, unit):
+        """Dials in a window that this proxy may send a cold server (`Facts.right`)."""
+        return self.facts.right(server, self.bears(), unit)
+
     def sight(self, now):
         """server -> (BAD or WELL, when), the last that this proxy has seen of each itself."""
         found = {}
@@ -271,7 +301,7 @@
                 "agrees": known is not None and known.digest == facts.digest() or member is membership.me})
         return {"name": self.told.name, "cluster": self.told.cluster, "state": facts.state,
                 "since_s": round((now - facts.since) / 1000, 1), "digest": membership.digest(),
-                "alone": membership.alone, "fleet": facts.fleet(now), "share": round(facts.share(now), 4),
+                "alone": membership.alone, "fleet": facts.fleet(now), "share": round(self.share(now), 6),
                 "members": members, "differs": self.differs(now), "links": self.links.figures()}
 
     def differs(self, now):
@@ -282,7 +312,7 @@
         else:
             found = []
         if facts.fleet(now) != facts.meant:
-            found.append(f"takes {facts.share(now):.3f} of what all may do, {1 / facts.meant:.3f} by its file")
+            found.append(f"takes {told(self.share(now))} of what all may do, {told(self.meant_share())} by its file")
         drained = [name for name, (phase, started) in sorted(self.own.items())
                    if self.holds(name, phase, started) is not phase]
         if drained:
@@ -293,10 +323,13 @@
             found.append("takes for its own way's fault that " + ", ".join(self.here) + " fail here")
         return found
 
+    def meant_share(self):
+        return 1 / self.facts.meant
+
     def figures(self):
         now = self.clock.now()
         return {"state": self.facts.state, "reached": len(self.facts.reached()), "fleet": self.facts.fleet(now),
-                "share": round(self.facts.share(now), 4), **self.links.figures()}
+                "share": round(self.share(now), 6), **self.links.figures()}
 
     def answer(self, request, done):
         if "compare" in request:
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -21,6 +21,7 @@
 ALIVE, SUSPECT, DEAD, LEFT = "alive", "suspect", "dead", "left"
 RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
 PING, ACK, ASK, NACK, JOIN, STATE, CLASH = "ping", "ack", "ask", "nack", "join", "state", "clash"
+COMPARE, WANT = "compare", "want"
 
 
 class Member:
@@ -45,6 +46,9 @@
     def words(self):
         return [self.state, self.name, self.address, self.incarnation, self.birth]
 
+    def digest(self):
+        return int.from_bytes(hashlib.blake2b(repr(self.words()).encode(), digest_size=6).digest(), "big")
+
 
 class Rumours:
     """What is to be passed on, the least often told first; each about log n times, then no more."""
@@ -77,7 +81,8 @@
 class Membership:
     """One instance's view. `period`: ms between probes; `patience`: ms for an answer; both stretch with the
     local health. `helpers`: whom it asks to probe for it. `kept`: ms that those
-    who are surely gone are remembered."""
+    who are surely gone are remembered. `differences`: whole states are compared by digest first, and only what
+    differs is sent; all of a cluster do so or none."""
 
     MOST_UPDATES = 8
     MOST_HEALTH = 8             # Lifeguard's S: 9 times the usual patience at the most
@@ -89,11 +94,13 @@
     CHECKS = 4                  # of those that hear of a suspicion, so many look for themselves
     HELD, CONTESTS = 10.0, 3    # periods after which a name is one's own; how often it is then defended against another
     PROOFS = 8                  # of those that can't be reached, asked for again with each exchange
+    BUCKETS = 16                # of a state that is compared
     MOST_REMOVED = MOST_DOUBTFUL = 1024
     RECENT = 5.0, 20.0          # periods that own sight of a member beats a rumour of its death: among few, among many
 
-    def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every):
-        self.actions = actions
+    def __init__(self, actions, rng, name, address, birth, *, period, patience, helpers, kept, sync_every,
+                 differences=False):
+        self.actions, self.differences = actions, differences
         self.shuffle, self.sample = rng.shuffle, rng.sample
         self.uniform, self.choice, self.random = rng.uniform, rng.choice, rng.random
         self.period, self.patience, self.helpers, self.kept = period, patience, helpers, kept
@@ -424,6 +431,10 @@
             self.news = self.news or len(self.members) > before
         elif kind == CLASH:
             self.on_clash(now, rest[0])
+        elif kind == COMPARE:
+            self.compare(address, rest[0])
+        elif kind == WANT:
+            self.send_state(address, rest[0])
         else:
             raise ValueError(f"{kind!r} is no kind of message")
 
@@ -516,8 +527,10 @@
             self.me.incarnation = incarnation + 1
             self.rumours.add(self.me, self.me.name)
 
-    def send_state(self, address):
-        everyone = [[*self.members[name].words(), self.me.name] for name in sorted(self.members)]
+    def send_state(self, address, buckets=None):
+        """Of all members, or of those in `buckets`."""
+        everyone = [[*member.words(), self.me.name] for name, member in sorted(self.members.items())
+                    if buckets is None or self.bucket(name) in buckets]
         for place in range(0, len(everyone), self.STATE_CHUNK):
             self.actions.send(address, [STATE, everyone[place:place + self.STATE_CHUNK]])
 
@@ -546,7 +559,30 @@
             self.joined = False
             self.join(now)
 
+    @classmethod
+    def bucket(cls, name):
+        return hashlib.blake2b(name.encode(), digest_size=1).digest()[0] % cls.BUCKETS
+
+    def sums(self):
+        """A digest of each bucket of this view, but for those who are surely gone: each forgets them in its own time."""
+        found = [0] * self.BUCKETS
+        for name, member in self.members.items():
+            if member.state != LEFT and not member.certain:
+                found[self.bucket(name)] ^= member.digest()
+        return found
+
+    def compare(self, address, theirs):
+        if len(theirs) != self.BUCKETS:
+            raise ValueError("not as many buckets")
+        differ = [place for place, (mine, other) in enumerate(zip(self.sums(), theirs)) if mine != other]
+        if differ:
+            self.send_state(address, differ)
+            self.actions.send(address, [WANT, differ])
+
     def meet(self, other):
+        # Whoever is there now in place of one that is gone knows nothing yet, and goes by another birth.
+        if self.differences and other.state != DEAD:
+            return self.actions.send(other.address, [COMPARE, self.sums()])
         self.send_state(other.address)
         self.actions.send(other.address, [JOIN, self.me.words()])
 
--- a/wheathill/peers/show.py
+++ b/wheathill/peers/show.py
@@ -36,18 +36,36 @@
     return file.peers.control
 
 
+def zone_lines(found):
+    yield f"zone {found['zone']}, region {found['region']} {found['region_state']}, fleet {found['fleet_state']}: " \
+          f"{found['fleet_at_work']} may be at work, layout {found['layout']}, the zone's part {found['part']:g}"
+    rows = [["zone", "region", "state", "at work", "reached", "meant", "part", "layout", "out of reach", "delegates"]]
+    for zone in found["zones"]:
+        rows.append([zone["name"], zone["region"], zone["state"],
+                     *("-" if zone[key] is None else str(zone[key]) for key in ("at_work", "reached")),
+                     str(zone["meant"]), f"{zone['part']:g}", "-" if zone["layout"] is None else str(zone["layout"]),
+                     " ".join(zone["out_of_reach"]) or "-", " ".join(zone["delegates"]) or "-"])
+    yield from columns(rows)
+
+
+def columns(rows):
+    widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
+    for row in rows:
+        yield "  ".join(text.ljust(width) for text, width in zip(row, widths)).rstrip()
+
+
 def lines(found):
     yield f"{found['name']} of {found['cluster']}: {found['state']} for {found['since_s']:.0f} s, " \
           f"{found['fleet']} may be at work, share {found['share']:g}" + (", alone" if found["alone"] else "")
+    if "zones" in found:
+        yield from zone_lines(found)
     rows = [["member", "state", "since", "heard", "agrees", "address", "accused by"]]
     for member in found["members"]:
         state = member["state"] + (" (seen)" if member["state"] == "dead" and member["surely_gone"] else "")
         heard = "-" if member["heard_s"] is None else f"{member['heard_s']:.0f} s"
         rows.append([member["name"], state, f"{member['since_s']:.0f} s", heard, "yes" if member["agrees"] else "no",
                      member["address"], " ".join(member["accused_by"])])
-    widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
-    for row in rows:
-        yield "  ".join(text.ljust(width) for text, width in zip(row, widths)).rstrip()
+    yield from columns(rows)
     for text in found["differs"]:
         yield f"because of its peers it {text}"
     dropped = found["links"]["dropped"]
--- /dev/null
+++ b/wheathill/peers/zoned.py
@@ -0,0 +1,307 @@
+"""One instance of a fleet of zones: whole views within its zone, and of the others what their delegates say.
+
+As `instance.Peers` but for what would grow with the fleet: drains and starts go over the board, agreement is told by the
+zone's first delegate, a limit's share is a share of the zone's part. docs/design/zones.md.
+"""
+
+from wheathill.model import Phase
+from wheathill.peers.board import SERVER, Board
+from wheathill.peers.facts import AGREED, ALONE
+from wheathill.peers.instance import NOTE, Peers, bounded
+from wheathill.peers.zones import Zones, check
+
+NEWS, DIFFER, HAVE, BEAT, BEATEN = "news", "differ", "have", "beat", "beaten"
+
+
+class ZonedPeers(Peers):
+    TELLS, MOST_SEEN = 4, 12    # evidence: instances a period, servers each
+    PUSHED = 3                  # members that news is passed on to
+    BATCH = 20.0                # ms that news is gathered
+    CHUNK = 1150                # bytes of records in a datagram
+    BULK = 400                  # records a message, where a difference is told
+    VERSION = 2                 # of frames; instances without zones speak another and are refused
+    MOST_ASKS = 8               # differences told a period, by whoever is asked
+    NOTED_AGAIN = 32.0          # periods at the most between two tellings of one view
+
+    def __init__(self, told, proxy, carrier, clock, log, birth, meant):
+        zone = next(zone for zone in told.layout.zones if zone.name == told.zone)
+        super().__init__(told, proxy, carrier, clock, log, birth, max(1, zone.proxies))
+        self.seal.VERSION = self.VERSION
+        # Who starts out of everyone's reach can't know that others took over the part of the process before it.
+        self.facts.least = max(1, zone.proxies)
+        self.wall = lambda: clock.to_wall(clock.now())
+        self.writer = f"{told.name} {birth}"
+        self.board = Board([zone.name for zone in told.layout.zones], check)
+        self.zones = Zones(clock.now(), told.layout, told.zone, self.writer, self.board, told.period,
+                           self.shuffle, self.choice)
+        self.news = {}              # key -> record that waits to be passed on
+        self.abroad = {}            # those of them that were first heard within the zone
+        self.begun = False          # whether some of them begin here
+        self.changed_at = self.same_at = clock.now()    # when the board last changed; was last the same as another's
+        self.asked_at = {}          # address -> when its board was last asked for what differs
+        self.asks = 0               # answered since the last tick
+        self.note_at, self.note_wait = 0.0, told.period
+        self.states = None          # of region and fleet, as last logged
+
+    # Words
+
+    def beliefs(self):
+        return (self.told.zone, self.facts.digest(), self.facts.old, round(self.bears(), 2), self.told.layout.version,
+                self.board.digest)
+
+    def take(self, now, name, birth, address, words):
+        zone, digest, old, bears, layout, board, (kind, *rest) = words
+        if zone == self.told.zone:
+            self.meets(now, name, birth, address)
+            self.facts.told(name, birth, digest, bool(old), bounded(bears), int(layout))
+        elif zone in self.zones.others:
+            self.zones.spoke(now, zone)
+        else:
+            raise ValueError(f"no zone of the layout: {zone}")
+        self.zones.told_layout(int(layout))
+        if kind in (NEWS, DIFFER, HAVE, BEAT, BEATEN):
+            self.on_board(now, zone, address, kind, rest)
+        elif zone == self.told.zone:
+            self.follow(now, name, address, kind, rest)
+        else:
+            raise ValueError(f"{kind!r} is not said between zones")
+        if board == self.board.digest:
+            self.same_at = now
+        elif address is not None:
+            self.ask_difference(now, address)
+
+    # The board
+
+    def on_board(self, now, zone, address, kind, rest):
+        if kind == NEWS:
+            self.learn(now, rest[0], zone)
+        elif kind == BEAT:
+            self.learn(now, rest[1], zone)
+            self.say(rest[0], [BEATEN, self.summaries()])
+        elif kind == BEATEN:
+            self.learn(now, rest[0], zone)
+        elif kind == DIFFER:
+            where, sums = rest
+            if self.asks < self.MOST_ASKS:
+                self.asks += 1
+                buckets = self.board.differing(sums)
+                for part in self.bulks(buckets):
+                    self.say(where, [HAVE, self.told.advertise, *part])
+        else:
+            where, buckets, records = rest
+            ahead = self.board.ahead(buckets, records)
+            self.learn(now, records, zone)
+            for part in self.chunks(ahead):
+                self.say(where, [NEWS, part])
+
+    def ask_difference(self, now, address):
+        """Of one whose board is another. Not while news is on its way, as it is another at each for a moment; but where
+        news comes all the time, what was lost of it is asked for all the same."""
+        period = self.told.period
+        moment = now - self.changed_at < period / 2 and now - self.same_at < 2 * period
+        if moment or now - self.asked_at.get(address, -period) < period:
+            return
+        for old in [old for old, when in self.asked_at.items() if now - when >= period]:
+            del self.asked_at[old]
+        if len(self.asked_at) < self.MOST_ASKS:
+            self.asked_at[address] = self.same_at = now
+            self.say(address, [DIFFER, self.told.advertise, self.board.sums])
+
+    def bulks(self, buckets):
+        """(buckets, all records in them), not too many at once."""
+        some, records = [], []
+        for bucket in buckets:
+            some.append(bucket)
+            records += self.board.within([bucket])
+            if len(records) >= self.BULK:
+                yield some, records
+                some, records = [], []
+        if some:
+            yield some, records
+
+    def chunks(self, records):
+        """As many as a datagram takes."""
+        part, size = [], 0
+        for record in records:
+            length = len(self.seal.encode(record))
+            if part and size + length > self.CHUNK:
+                yield part
+                part, size = [], 0
+            part.append(record)
+            size += length
+        if part:
+            yield part
+
+    def learn(self, now, records, zone):
+        news = self.board.merge(self.wall(), records)
+        if news:
+            self.pass_on(now, news, abroad=zone == self.told.zone)
+            self.apply([record[0][len(SERVER):] for record in news if record[0].startswith(SERVER)])
+
+    def pass_on(self, now, records, abroad):
+        """What is news here is told on in a moment. Delegates tell other zones what they hear in theirs."""
+        self.changed_at = now
+        if not self.news:
+            self.clock.after(self.BATCH, self.tell_on)
+        for record in records:
+            self.news[record[0]] = record
+            if abroad:
+                self.abroad[record[0]] = record
+        self.zones_say()
+
+    def begin(self, now, record):
+        """What begins here also goes to those who tell the other zones."""
+        self.pass_on(now, [record], True)
+        self.begun = True
+
+    def tell_on(self):
+        news, self.news = list(self.news.values()), {}
+        abroad, self.abroad = list(self.abroad.values()), {}
+        begun, self.begun = self.begun, False
+        delegates = {name: None for name, _, _ in self.delegates()}
+        members = self.reached()
+        chosen = self.sample(members, min(len(members), self.PUSHED))
+        if begun:
+            chosen += [member for member in members if member.name in delegates and member not in chosen]
+        self.tell_each([member.address for member in chosen], news)
+        if self.told.name in delegates:
+            now = self.clock.now()
+            self.tell_each([self.zones.address(now, zone) for zone in self.zones.others], abroad)
+
+    def tell_each(self, addresses, records):
+        for part in self.chunks(records):
+            for address in addresses:
+                self.say(address, [NEWS, part])
+
+    def reached(self):
+        return [member for member in self.membership.alive() if member is not self.membership.me]
+
+    # Delegates
+
+    def delegates(self):
+        """(name, birth, address) of those who speak for the zone, by this view."""
+        if self.membership.alone:
+            return []
+        return self.zones.delegates([(member.name, member.birth, member.address) for member in self.membership.alive()])
+
+    def summaries(self):
+        """The record of the own zone's summary, if there is one."""
+        record = self.board.records.get("z/" + self.told.zone)
+        return [] if record is None else [record]
+
+    def state(self):
+        """Of the own zone; one of a single member is agreed with itself."""
+        return AGREED if self.facts.state == ALONE and self.zones.own.proxies <= 1 else self.facts.state
+
+    def summary(self, now, delegates):
+        facts = self.facts
+        layouts = [self.told.layout.version, *(known.layout for known in facts.there.values())]
+        return [self.state(), facts.fleet(now), 1 + len(facts.reached()), facts.digest() if facts.all_told() else "",
+                sorted(self.zones.out_of_reach(now)),
+                max(self.zones.through(self.told.zone), 0 if facts.unseen() else min(layouts)),
+                [[name, address] for name, _, address in delegates]]
+
+    def tick(self):
+        now = self.clock.now()
+        self.asks = 0
+        self.board.forget(self.wall())
+        super().tick()
+        delegates = self.delegates()
+        alone = self.facts.state == ALONE and now < self.facts.speaks    # others may be on the way
+        if delegates and delegates[0][0] == self.told.name and not alone:
+            record = self.zones.write(now, self.summary(now, delegates))
+            if record is not None:
+                self.begin(now, record)
+        if any(name == self.told.name for name, _, _ in delegates):
+            for address in self.zones.due(now):
+                self.say(address, [BEAT, self.told.advertise, self.summaries()])
+        else:
+            self.zones.listen(now)
+        states = self.zones.region_state(self.state()), self.zones.fleet_state(self.state())
+        if states != self.states:
+            self.states = states
+            self.log_event("zones are", region=states[0], fleet=states[1], out_of_reach=self.zones.unreached())
+
+    def zones_say(self):
+        """What the own zone's summary confirms."""
+        held = self.board.summary(self.told.zone)
+        self.facts.confirmed = held[1][3] or None if held else None
+
+    def note(self):
+        """A view that has changed is told to the delegates, and again until the summary says that all have it."""
+        now = self.clock.now()
+        noted = self.facts.digest(), self.facts.old
+        if noted != self.noted:
+            self.noted, self.note_at, self.note_wait = noted, now, self.told.period
+        elif self.facts.confirmed == noted[0]:
+            return
+        if now >= self.note_at:
+            self.note_at, self.note_wait = now + self.note_wait, min(2 * self.note_wait,
+                                                                     self.NOTED_AGAIN * self.told.period)
+            for name, _, address in self.delegates():
+                if name != self.told.name:
+                    self.say(address, [NOTE])
+
+    # Limits
+
+    def share(self, now):
+        return self.zones.part() * self.facts.share(now)
+
+    def meant_share(self):
+        return self.zones.own.part / self.facts.meant
+
+    def right(self, server, unit):
+        return self.facts.right(server, self.bears(), unit, self.zones.rounded) if self.zones.part() else 0.0
+
+    # Drains and starts
+
+    def tell_news(self, address):
+        pass        # the board is compared with each message
+
+    def on_entry(self, name, phase, started):
+        self.own[name] = phase, started
+        if phase is not Phase.GONE:
+            record = self.board.list_says(self.wall(), name, phase is Phase.DRAINING, started)
+            if record is not None:
+                self.begin(self.clock.now(), record)
+        return self.holds(name, phase, started), self.board.start(name, started)
+
+    def holds(self, name, phase, started):
+        drains = phase is Phase.READY and self.board.drains(name, self.board.start(name, started))
+        return Phase.DRAINING if drains else phase
+
+    def apply(self, names):
+        for name in names:
+            server = self.proxy.servers.get(name)
+            if server is not None and name in self.own:
+                self.proxy.told_by_peers(server, self.holds(name, *self.own[name]),
+                                         self.board.start(name, self.own[name][1]))
+
+    # Operators
+
+    def table(self):
+        now = self.clock.now()
+        found = super().table()
+        rows = []
+        for zone in self.told.layout.zones:
+            held = self.board.summary(zone.name)
+            value = held[1] if held else None
+            rows.append({
+                "name": zone.name, "region": zone.region, "meant": zone.proxies, "part": round(zone.part, 6),
+                "state": self.zones.state(zone.name, self.state()),
+                "at_work": value and value[1], "reached": value and value[2], "layout": value and value[5],
+                "out_of_reach": value[4] if value else [],
+                "delegates": [name for name, _ in value[6]] if value else []})
+        return {**found, "zone": self.told.zone, "region": self.zones.own.region, "layout": self.told.layout.version,
+                "part": round(self.zones.part(), 6), "fleet_at_work": self.zones.at_work(self.facts.fleet(now)),
+                "region_state": self.zones.region_state(self.state()),
+                "fleet_state": self.zones.fleet_state(self.state()), "zones": rows,
+                "board": len(self.board.records)}
+
+    def differs(self, now):
+        found = super().differs(now)
+        if self.zones.part() < self.zones.own.part:
+            held = self.zones.through(self.told.zone)
+            found.append(f"takes {self.zones.part():.3g} for its zone's part, {self.zones.own.part:.3g} by its layout: "
+                         f"not all zones hold version {self.told.layout.version} (its own: {held})")
+        return found
