--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -13,7 +13,7 @@
 from wheathill.config import Misconfigured
 from wheathill.lab.scale import judge
 from wheathill.lab.scale.crew import Crews, Lost
-from wheathill.lab.scale.layout import Layout, can_be_zoned, free_net, region_of, zone_of
+from wheathill.lab.scale.layout import Layout, free_net, region_of, zone_of
 
 WITHIN = 6.0            # s for a change to be in force, and for a death to be known
 BACK = 2.0              # s until a process that was restarted is there again
@@ -53,13 +53,11 @@
     def __init__(self, plan, say=lambda text: None):
         if plan.regions > plan.zones or plan.zones > plan.members:
             raise Misconfigured("--zones: must be as many as --regions at the least, and --members as --zones")
-        if plan.zoned and not can_be_zoned():
-            raise Misconfigured("--zoned: proxies of this version are told no zone")
         self.plan, self.say = plan, say
         net, self.held = free_net(os.getpid())
         ways = (1.0, 5.0, 80.0, 200.0) if plan.one_way else Layout.ways
         self.layout = Layout(plan.members, plan.zones, plan.regions, net, plan.seed, plan.period, plan.patience,
-                             plan.servers, plan.changes, can_be_zoned() if plan.zoned is None else plan.zoned, ways)
+                             plan.servers, plan.changes, plan.zones > 1 if plan.zoned is None else plan.zoned, ways)
         self.region = None if plan.cut is None else region_of(plan.cut, self.layout)
         self.zone = None if plan.kill_zone is None else zone_of(plan.kill_zone, self.layout)
         self.rng = random.Random(f"{plan.seed}/faults")
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -99,15 +99,16 @@
 
     def start(self, together=None):
         """`together`: numbers of all members where it is to know them from the start, else None."""
-        from wheathill.peers.instance import Peers
+        from wheathill.peers import instance_of
         crew, layout = self.crew, self.crew.layout
+        told = layout.told(self.number)
         self.starts += 1
         self.told = {}
         self.clock = StretchedClock(crew.loop, crew.clock.rate)
         self.began = self.clock.now()
         self.carrier = ShapedCarrier(crew.carrier, crew.shape, self.number) if crew.shape else crew.carrier
-        peers = self.peers = Peers(layout.told(self.number), StandIn(self, crew.servers), self.carrier, self.clock,
-                                   self.log, layout.birth(self.number, self.starts), layout.members)
+        peers = self.peers = instance_of(told)(told, StandIn(self, crew.servers), self.carrier, self.clock, self.log,
+                                               layout.birth(self.number, self.starts), layout.members)
         for change in range(layout.changes):
             peers.on_entry(f"change-{change}", Phase.READY, 0.0)
         if together:
@@ -118,7 +119,8 @@
         """As long after a start: views, births and agreement are there."""
         peers, layout, now = self.peers, self.crew.layout, self.clock.now()
         peers.look = peers.log_event = lambda *_, **__: None
-        others = [number for number in numbers if number != self.number]
+        others = [number for number in numbers if number != self.number and (
+            not layout.zoned or layout.zone(number) == layout.zone(self.number))]
         for number in others:
             peers.membership.hear(now, [["alive", layout.name(number), layout.address(number), 0,
                                          layout.birth(number, 1), layout.name(number)]])
--- a/wheathill/lab/scale/layout.py
+++ b/wheathill/lab/scale/layout.py
@@ -3,10 +3,12 @@
 
 import random
 import socket
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
+from functools import cache
 
 from wheathill.config import Misconfigured
-from wheathill.config.peers import Told
+from wheathill.config.peers import Layout as Zones
+from wheathill.config.peers import Told, Zone
 
 PORT = 19_700
 SEEDS = 3
@@ -60,13 +62,28 @@
         return random.Random(f"{self.seed}/{number}/birth {start}").getrandbits(48) | 1
 
     def told(self, number):
-        """As the operator's file would tell it. Zone and region where a proxy can be told of them."""
-        more = {"zone": f"z{self.zone(number) + 1}", "region": f"r{self.region(number) + 1}"} if self.zoned else {}
+        """As the operator's file would tell it. Seeds are the first of all, or of its zone."""
+        zone = self.zone(number)
+        more = {"zone": f"z{zone + 1}", "layout": self.of_zones()} if self.zoned else {}
+        seeds = self.seeds(range(zone, self.members, self.zones) if self.zoned else range(self.members))
         return Told(name=self.name(number), cluster="scale", listen=self.where(number), advertise=self.address(number),
-                    seeds=tuple(self.address(seed) for seed in range(min(SEEDS, self.members))),
+                    seeds=seeds,
                     key=b"the scale test's own key", roster=(), control=None, period=self.period,
                     patience=self.patience, **more)
 
+    def seeds(self, numbers):
+        return tuple(self.address(seed) for seed in numbers[:SEEDS])
+
+    @cache
+    def of_zones(self):
+        """What each member is told of all zones; the same object for all of a process."""
+        found = []
+        for zone in range(self.zones):
+            numbers = range(zone, self.members, self.zones)
+            part = len(numbers) / self.members
+            found.append(Zone(f"z{zone + 1}", f"r{zone % self.regions + 1}", len(numbers), self.seeds(numbers), part, part))
+        return Zones(1, tuple(found))
+
     def distance(self):
         """(region, region) -> ms one way, the same in every process of a run; within one the region's own."""
         _, near, least, most = self.ways
@@ -78,10 +95,6 @@
         return found
 
 
-def can_be_zoned():
-    return {"zone", "region"} <= {field.name for field in fields(Told)}
-
-
 def region_of(text, layout):
     """The number of region `rN`; raises Misconfigured."""
     for region in range(layout.regions):
