--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -32,12 +32,15 @@
 
 
 class StretchedClock(Clock):
-    """`rate` times as slow as the machine's. One that is stopped rings no more, as that of a dead process."""
+    """`rate` times as slow as the machine's, and so is its wall clock, which is the same for all members whenever they
+    start. One that is stopped rings no more, as that of a dead process."""
+
+    EPOCH = 1_700_000_000_000.0
 
     def __init__(self, loop, rate):
-        self.rate = rate
+        self.loop, self.rate = loop, rate
+        self.offset = -self.EPOCH
         self.stopped = False
-        super().__init__(loop)
 
     def now(self):
         return self.loop.time() * 1000 / self.rate
@@ -119,15 +122,16 @@
     def start(self, wait=0.0, together=None, full=False):
         """`wait`: ms until it says anything; `together`: numbers of all members where it is to know them from the start,
         else None; `full`: also all that its links would hold of them after a while."""
-        from wheathill.peers.instance import Peers
+        from wheathill.peers import instance_of
         crew, layout = self.crew, self.crew.layout
+        told = layout.told(self.number)
         self.starts += 1
         self.told = {}
         self.clock = StretchedClock(crew.loop, crew.clock.rate)
         self.began = self.clock.now()
         self.carrier = ShapedCarrier(crew.carrier, crew.shape, self.number) if crew.shape else crew.carrier
-        peers = self.peers = Peers(layout.told(self.number), StandIn(self, crew.servers), self.carrier, self.clock,
-                                   self.log, layout.birth(self.number, self.starts), layout.members)
+        peers = self.peers = instance_of(told)(told, StandIn(self, crew.servers), self.carrier, self.clock, self.log,
+                                               layout.birth(self.number, self.starts), layout.members)
         for change in range(layout.changes):
             peers.on_entry(f"change-{change}", Phase.READY, 0.0)
         if together:
@@ -138,7 +142,8 @@
         """As long after a start: views, births and agreement are there."""
         peers, layout, now = self.peers, self.crew.layout, self.clock.now()
         peers.look = peers.log_event = lambda *_, **__: None
-        others = [number for number in numbers if number != self.number]
+        others = [number for number in numbers if number != self.number and (
+            not layout.zoned or layout.zone(number) == layout.zone(self.number))]
         for number in others:
             peers.membership.hear(now, [["alive", layout.name(number), layout.address(number), 0,
                                          layout.birth(number, 1), layout.name(number)]])
