--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -31,7 +31,8 @@
 @click.option("--servers", type=click.IntRange(0), default=64, show_default=True, help="that each has just seen")
 @click.option("--known", is_flag=True, help="all know each other from the start")
 @click.option("--rest", type=float, help="seconds measured at rest; a fifth of all where left out")
-@click.option("--zoned/--flat", "zoned", default=None, help="whether members are told the zones; as soon as there are two, where left out")
+@click.option("--zoned/--flat", "zoned", default=None, 
+              help="whether members are told the zones; as soon as there are two, where left out")
 @click.option("--one-way", is_flag=True, help="1, 5 and 80 to 200 ms each way, not for the way there and back")
 @click.option("--no-shape", is_flag=True, help="no delays, losses or cuts between the members")
 @click.option("--no-faults", is_flag=True, help="measure rest only")
@@ -97,7 +98,8 @@
 @click.option("--processes", type=click.IntRange(1, 200), help="that share the members")
 @click.option("--rest", type=float, help="seconds measured at rest; a fifth of all where left out")
 @click.option("--known", is_flag=True, help="all know each other from the start")
-@click.option("--zoned/--flat", "zoned", default=None, help="whether members are told the zones; as soon as there are two, where left out")
+@click.option("--zoned/--flat", "zoned", default=None, 
+              help="whether members are told the zones; as soon as there are two, where left out")
 def slope(sizes, json_path, stretches, **told):
     """Measure several sizes at rest, fit how the figures grow, and predict the largest before it is run."""
     from wheathill.lab.scale import fleet as runs
--- a/wheathill/lab/scale/crew.py
+++ b/wheathill/lab/scale/crew.py
@@ -39,7 +39,8 @@
                 env={**os.environ, "PYTHONHASHSEED": "0"}))
         return await asyncio.gather(*(
             self.ask(worker, {"do": "build", "layout": asdict(self.layout), "numbers": numbers, "rate": rate,
-                              "loss": loss, "shaped": shaped, "sockets": sockets, "prompt": place < self.alone or not numbers})
+                              "loss": loss, "shaped": shaped, "sockets": sockets,
+                              "prompt": place < self.alone or not numbers})
             for place, (worker, numbers) in enumerate(zip(self.workers, self.numbers))))
 
     async def ask(self, worker, order):
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -10,7 +10,8 @@
 
     def rank(share):
         return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], digits)
-    return {"mean": round(sum(ordered) / len(ordered), digits), "p50": rank(0.50), "p99": rank(0.99), "max": round(ordered[-1], digits)}
+    return {"mean": round(sum(ordered) / len(ordered), digits),
+            "p50": rank(0.50), "p99": rank(0.99), "max": round(ordered[-1], digits)}
 
 
 def largest_sum(changes):
