Policy: one place drops repeats of a server among choices; rule 2 read off the kind of repeat

The slots after a session's own were made unlike one another, and again among all its choices; the second is enough. Layout of a few constructors.

--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -41,8 +41,7 @@
         self.keys_kept, self.keys_age = keys_kept, keys_age
         self.home = [None] * size       # highest hash of all that are listed, whatever was shifted
         self.lowest = [math.inf] * size     # its score
-        self.current = [None] * size
-        self.new = [None] * size
+        self.current, self.new = [None] * size, [None] * size
         self.sessions = [{} for _ in range(size)]
         self.holders = {}       # group -> {server: how many of it are open there through this proxy}
         self.opened = {}        # slot -> when its entry in the new table was written
@@ -97,15 +96,10 @@
         server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
     def others(self, slot):
-        """The servers that the slots after this one lead to, each once: whom to try where the slot's own
-        will not do. Every proxy finds the same ones, and none goes over the whole fleet for a session."""
-        seen = {}
-        for step in range(1, self.reach):
-            at = (slot + step) % self.size
-            server = self.new[at] or self.current[at]
-            if server is not None and server not in seen:
-                seen[server] = None
-                yield server
+        """Whom the slots after this one lead to, for where its own server will not do. Every proxy finds the
+        same ones, and none goes over the whole fleet for a session."""
+        for at in range(slot + 1, slot + self.reach):
+            yield self.new[at % self.size] or self.current[at % self.size]
 
     def stand(self, servers, slots, opened, known):
         """As another process of this proxy left it."""
@@ -638,12 +632,9 @@
     def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
                  hold):
         self.actions, self.uniform, self.health = actions, uniform, health
-        self.hold, self.longest_wait = hold, longest_wait
-        self.most_set_ups, self.least_set_ups = most_set_ups, least_set_ups
-        self.pause, self.cut_wait = pause, cut_wait
-        self.window = float(most_set_ups)
-        self.cut_at = -math.inf
-        self.next_at = -math.inf
+        self.most_set_ups, self.least_set_ups, self.window = most_set_ups, least_set_ups, float(most_set_ups)
+        self.pause, self.cut_wait, self.hold, self.longest_wait = pause, cut_wait, hold, longest_wait
+        self.cut_at = self.next_at = -math.inf
         self.under_way = {}
 
     def enter(self, now, sess):
@@ -688,12 +679,11 @@
     def __init__(self, actions, table, levels, roster, health, ways, cold, budget, probes, most_dials,
                  most_asked, recent):
         self.ways, self.actions, self.budget, self.probes = ways, actions, budget, probes
-        self.most_asked, self.recent = most_asked, recent
         self.waiting = {}       # server -> sessions that wait for its answer
         self.patience = {}      # number of the wait -> (session, server)
         self.waits = 0
         self.levels, self.table, self.roster, self.health = levels, table, roster, health
-        self.cold, self.most_dials = cold, most_dials
+        self.cold, self.most_dials, self.most_asked, self.recent = cold, most_dials, most_asked, recent
 
     def enter(self, now, sess):
         sess.slot = self.table.slot(sess)
@@ -859,17 +849,12 @@
 
 def may_redial(now, sess, server):
     """Rule 2, for a session none of whose dials is out."""
-    listener = sess.listener
-    if listener.repeat is Repeat.REPEATABLE:
-        return True
-    if listener.repeat is Repeat.ONCE_ONLY:
-        return not ran(sess)
-
-    def drops_repeats_of(dial):
-        scope = listener.scope
-        return scope == "all" or getattr(server, scope) == getattr(dial.server, scope)
-
-    return all(now < dial.sent + listener.window and drops_repeats_of(dial) for dial in ran(sess))
+    listener, scope = sess.listener, sess.listener.scope
+    if listener.repeat is not Repeat.REFERENCED:
+        return listener.repeat is Repeat.REPEATABLE or not ran(sess)
+    return all(now < dial.sent + listener.window
+               and (scope == "all" or getattr(server, scope) == getattr(dial.server, scope))
+               for dial in ran(sess))
 
 
 def may_refuse(sess):
