Cold servers: a proxy's part of a dial goes by turns that its number settles, and is not kept

A copy that logged each dial to a cold server showed every one of them made with a credit of exactly 1.0: 12 proxies with parts of 0.12 dials a window, 19 with 0.18. Parts summed to what may be dialled (5.2 of 5.2; 7.6 of 9.5), so the belief about what a server bears is not at fault: the credit is, which never counted for less than one dial (max(1.0, ...) in ColdBudget.allows) and was kept while idle. Change: no credit. Whole dials are counted over the last window; a part of one is a turn in half as many windows, which the proxy's number (settings.me, else by chance), the server's name and the window settle. A process that has just begun waits a window, as the one before it may have dialled.

--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -130,6 +130,7 @@
     reported = {"inline": True, "on_probe": may_probe}.get(report.text("how", "off"), False)
     return {
         "zone": settings.count("zone", 0), "proxies": max(1, settings.count("balancers", 1)),
+        "number": settings.count("me", 0) if "me" in settings.values else None,
         "report_names": [REPORT_NAMES.get(name, name) for name in report.texts("names")] if reported else [],
         "may_probe": may_probe, "must_ask": settings.text("membershipMode", "automatic") == "subscribe",
         "ask_every": duties.ms("askEveryS", 10_000.0),
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -11,15 +11,17 @@
 VERSION = 1
 CHUNK = 1000        # keys, ids or names in one message: none takes the loop for long
 
-SERVER_TIMES = ("started", "told", "credited", "late", "heard", "shift_after", "move_after", "asked")
-SERVER_FIGURES = ("weight", "credit")
+SERVER_TIMES = ("started", "told", "late", "heard", "shift_after", "move_after", "asked")
+SERVER_FIGURES = ("weight",)
 
 
 def tell(proxy):
     """The messages, in order; each is one object."""
     balancer, servers = proxy.balancer, list(proxy.servers.values())
     place = {server: at for at, server in enumerate(servers)}
-    yield {"servers": [told_server(server, proxy.addresses.get(server)) for server in servers]}
+    # A build that still keeps a credit for cold servers asks for one: it gets none.
+    spent = {"credit": 0.0, "credited": proxy.now()}
+    yield {"servers": [{**told_server(server, proxy.addresses.get(server)), **spent} for server in servers]}
     table = balancer.table
     yield {"table": {**{name: [place.get(server) for server in getattr(table, name)]
                         for name in ("home", "current", "new")}, "opened": list(table.opened.items())}}
@@ -165,7 +167,7 @@
             setattr(server, name, number(told[name]))
         elif name != "started":
             setattr(server, name, -math.inf)
-    server.weight, server.credit = number(told["weight"], 1e-9, 1e9), number(told["credit"], -1e9, 1e9)
+    server.weight = number(told["weight"], 1e-9, 1e9)
     server.silent = whole(told["silent"])
     server.doubted = expect(told.get("doubted", False), bool)
     for name, read in (("samples", number), ("results", lambda well: expect(well, bool))):
--- a/wheathill/handover/upgrade.py
+++ b/wheathill/handover/upgrade.py
@@ -14,7 +14,7 @@
         self.name = f"wheathill-{proxy.node.mark}.up"
         self.taker = self.giver = self.place = None
         self.tried_since = None
-        self.cold_multiple = self.free_dials = None     # of the budgets that were given away
+        self.cold_since = self.free_dials = None     # of the budgets that were given away
         proxy.upgrade = self
         proxy.door.hold(True)
 
@@ -80,11 +80,9 @@
 
     def told(self):
         cold = self.proxy.balancer.cold
-        self.cold_multiple, cold.multiple = cold.multiple, 0.0
+        self.cold_since, cold.since = cold.since, math.inf
         budget = self.proxy.balancer.budget
         self.free_dials, budget.free = budget.free, -math.inf
-        for server in self.proxy.servers.values():
-            server.credit = 0.0
 
     def given(self, giver, whole):
         self.proxy.handed_over = True
@@ -99,8 +97,8 @@
             return
         self.giver = None
         self.proxy.handed_over = False
-        if self.cold_multiple is not None:
-            self.proxy.balancer.cold.multiple = self.cold_multiple
+        if self.cold_since is not None:
+            self.proxy.balancer.cold.since = self.cold_since
             self.proxy.balancer.budget.free = self.free_dials
         self.log_event("handover undone", why=why)
         if self.proxy.stopping is None:
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -524,12 +524,18 @@
 
 
 class ColdBudget:
-    """Rule 4: this proxy's part of what a server that has just started can take."""
+    """Rule 4: this proxy's part of what a server that has just started can take.
 
-    def __init__(self, uniform, levels, start_share, cold_for, multiple, window):
-        self.uniform, self.start_share, self.cold_for = uniform, start_share, cold_for
-        self.multiple, self.window, self.levels = multiple, window, levels
+    Less than one dial is neither rounded up nor kept for later: all proxies that met a herd would use at once
+    what each had kept. In which windows it makes a whole one goes by the proxy's number, so that the sum over
+    all is right though they can't talk to one another (docs/design/cold-servers.md)."""
 
+    GOLDEN = (math.sqrt(5) - 1) / 2
+
+    def __init__(self, levels, start_share, cold_for, multiple, window, number, proxies):
+        self.levels, self.start_share, self.cold_for = levels, start_share, cold_for
+        self.multiple, self.window, self.number, self.proxies = multiple, max(1.0, window), number, proxies
+        self.since = math.inf   # this process began; the one before it may have dialled
         # Where proxies know each other: (server, dials in a window for each connection that it bears) ->
         # this one's dials in a window. Parts of less than one dial each add up to more by chance.
         self.rights = None
@@ -537,28 +543,30 @@
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
-    def joined(self, now, server):
-        # The part of one proxy may be far below one session. Each starts with a part of one at random:
-        # rounded up by all, a cold server would be pushed over, rounded down by all it would never fill.
-        server.credit, server.credited = self.uniform(0.0, 1.0), now
+    def turn(self, now, server):
+        """Between 0 and 1, anew each window. Below any part of 1 lie as many of the proxies at all times, to one
+        or two: multiples of the golden ratio fill the circle evenly (Steinhaus's three gaps). The windows of no
+        two proxies begin together, and no two servers' turns go alike."""
+        window = max(0.0, now - server.started) / self.window + self.number / self.proxies
+        return ((self.number + int(window)) * self.GOLDEN + server.draws[0] / 2 ** 32) % 1.0
 
     def allows(self, now, server):
         if not self.cold(now, server):
             return True
-        age = max(0.0, (now + server.credited) / 2 - server.started)
-        ready = self.start_share + (1 - self.start_share) * age / self.cold_for
+        ready = self.start_share + (1 - self.start_share) * max(0.0, now - server.started) / self.cold_for
         # A server fills over its warm-up at the fastest; a quarter is left for repeats, probes, handshakes.
-        unit = 0.75 / self.cold_for * ready * self.multiple
-        rate = (unit * self.levels.borne if self.rights is None
-                else self.rights(server.name, unit * self.window) / self.window)
-        most = max(1.0, rate * self.window / 4)
-        server.credit = min(most, server.credit + rate * (now - server.credited))
-        server.credited = now
-        return server.credit >= 1.0
+        unit = 0.75 * ready * self.multiple * self.window / self.cold_for
+        part = unit * self.levels.borne if self.rights is None else self.rights(server.name, unit)
+        while server.cold_dials and server.cold_dials[0] <= now - self.window:
+            server.cold_dials.popleft()
+        # Two turns that follow one another fall into one window of the server's: each has half of the part.
+        most = int(part) + (self.turn(now, server) < part % 1.0 / 2)
+        return len(server.cold_dials) < most and now >= self.since + self.window
 
     def dialled(self, now, server):
         server.dialled.append(now)
-        server.credit -= 1.0
+        if self.cold(now, server):
+            server.cold_dials.append(now)
 
 
 class DialBudget:
@@ -877,7 +885,7 @@
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
-                 nines=0.0, tells_late=False):
+                 nines=0.0, tells_late=False, number=None):
         self.actions, self.passes_through = actions, passes_through
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
@@ -893,7 +901,8 @@
         self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE,
                              shared_memory=5000.0)
         self.ways = Ways(fresh=5 * self.TICK)
-        self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
+        self.cold = ColdBudget(self.levels, start_share, cold_for, cold_multiple, cold_window,
+                               rng.uniform(0.0, proxies) if number is None else number, proxies)
         self.budget = DialBudget(*(budget or (0.0, 0.0, 0.0)))
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
                               least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
@@ -917,6 +926,7 @@
 
     def on_start(self, now):
         self.roster.begin(now)
+        self.cold.since = now
         # Proxies that start together would otherwise probe every server in the same instant.
         self.actions.alarm("tick", now + self.uniform(0.1, 1.0) * self.TICK)
 
@@ -926,7 +936,6 @@
         for server in joined:
             # In unlike order at each proxy, or all would probe the same servers first.
             server.asked = now - self.uniform(1.0, 2.0) * self.CONNECTION_LIFE
-            self.cold.joined(now, server)
         for what, servers in (("joined", joined), ("left", left)):
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
