--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -224,8 +224,7 @@
 
     def sample(self, now, server, report):
         if self.source and report and len(report) == len(self.names):
-            figure = report[self.names.index(self.source)]
-            if figure is not None and figure >= 0 and math.isfinite(figure):
+            if (figure := report[self.names.index(self.source)]) is not None and 0 <= figure < math.inf:
                 server.samples.append((now, figure))
 
     def figure(self, now, server):
@@ -453,10 +452,9 @@
 class Ways:
     """How long an answer takes from a server to this proxy and back, by the last few probes.
 
-    Messages take as long: where that alone misses their target, the way is slow, or the server behind it is
-    swamped, stopped now and then, or loses what is sent and is asked again; all alike to who waits. Of one
-    not asked of late the others of its zone tell, as what delays many lies between. It could do harm where
-    probes wait and messages don't; so it only puts a server behind those that answer in time."""
+    Messages take as long: where that alone misses their target, the way is slow or the server swamped; alike
+    to who waits. Of one not asked of late the others of its zone tell. It could do harm where probes wait and
+    messages don't; so it only puts a server behind those that answer in time."""
 
     def __init__(self, fresh):
         self.fresh = fresh
@@ -492,8 +490,6 @@
     def failing(self, now, server):
         """No fixed time stands for its return: one session at a time tries it, and until that one has stood
         a while nothing else goes there; each failure among the last few doubles the wait for the next try."""
-        if len(server.results) < 2:
-            return False
         recent = [(when, well) for when, well in server.results if when > now - self.memory]
         bad = [when for when, well in recent if not well]
         if len(bad) < 2 or 3 * len(bad) < len(recent):
@@ -526,9 +522,9 @@
 class ColdBudget:
     """Rule 4: this proxy's part of what a server that has just started can take.
 
-    Less than one dial is neither rounded up nor kept for later: all proxies that met a herd would use at once
-    what each had kept. In which windows it makes a whole one goes by the proxy's number, so that the sum over
-    all is right though they can't talk to one another (docs/design/cold-servers.md)."""
+    Less than one dial is neither rounded up nor kept for later: in a herd all would use theirs at once. In
+    which windows it makes a whole one goes by the proxy's number, so that the sum over all is right though
+    they can't talk to one another (docs/design/cold-servers.md)."""
 
     GOLDEN = (math.sqrt(5) - 1) / 2
 
@@ -536,17 +532,14 @@
         self.levels, self.start_share, self.cold_for = levels, start_share, cold_for
         self.multiple, self.window, self.number, self.proxies = multiple, max(1.0, window), number, proxies
         self.since = math.inf   # this process began; the one before it may have dialled
-        # Where proxies know each other: (server, dials in a window for each connection that it bears) ->
-        # this one's dials in a window. Parts of less than one dial each add up to more by chance.
-        self.rights = None
+        self.rights = None      # where proxies know each other: (server, dials for each borne) -> own dials
 
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
     def turn(self, now, server):
-        """Between 0 and 1, anew each window. Below any part of 1 lie as many of the proxies at all times, to one
-        or two: multiples of the golden ratio fill the circle evenly (Steinhaus's three gaps). The windows of no
-        two proxies begin together, and no two servers' turns go alike."""
+        """Between 0 and 1, anew each window, which no two proxies begin together. Multiples of the golden
+        ratio fill the circle evenly (Steinhaus's three gaps): below a part lies that part of the proxies."""
         window = max(0.0, now - server.started) / self.window + self.number / self.proxies
         return ((self.number + int(window)) * self.GOLDEN + server.draws[0] / 2 ** 32) % 1.0
 
@@ -577,10 +570,8 @@
 
     def __init__(self, free, share, span):
         self.free, self.share, self.span = free, share, span
-        most = None if span else 0
-        self.taken = deque(maxlen=most)     # when sessions came, of the last span
-        self.spent = deque(maxlen=most)     # (when, utility of the session) of further dials
-        self.asked = deque(maxlen=most)     # the same, of those wanted, made or not
+        # Of the last span: when sessions came; (when, utility of the session) of further dials; of wanted.
+        self.taken, self.spent, self.asked = (deque(maxlen=None if span else 0) for _ in range(3))
         self.withheld = 0
 
     def wanted(self, now, sess):
@@ -631,11 +622,9 @@
 class Admission(Stage):
     """Takes a session in, and gives its final answer when no later stage could.
 
-    Exception: while set-ups fail at many servers, only so many may be under way at once, halved as
-    they fail and growing as they succeed. Clients that return together would otherwise swamp what
-    all set-ups depend on, and keep it swamped by coming again. One each is still too many where there
-    are hundreds of proxies: below one, the next set-up waits for longer and longer.
-    """
+    Exception: while set-ups fail at many servers, only so many may be under way at once, halved as they fail
+    and growing as they succeed. Clients that return together would otherwise keep swamped what all set-ups
+    depend on. One each is still too many of hundreds of proxies: below one, the next waits ever longer."""
 
     def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
                  hold):
@@ -890,8 +879,7 @@
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
-                               zone=zone, near=self.nearness(crossing_price, move_price),
-                               reach=32)
+                               zone=zone, near=self.nearness(crossing_price, move_price), reach=32)
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, floor=5.0,
                                  late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK,
                                  tells_late=tells_late)
