--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -41,8 +41,7 @@
         self.keys_kept, self.keys_age = keys_kept, keys_age
         self.home = [None] * size       # highest hash of all that are listed, whatever was shifted
         self.lowest = [math.inf] * size     # its score
-        self.current = [None] * size
-        self.new = [None] * size
+        self.current, self.new = [None] * size, [None] * size
         self.sessions = [{} for _ in range(size)]
         self.holders = {}       # group -> {server: how many of it are open there through this proxy}
         self.opened = {}        # slot -> when its entry in the new table was written
@@ -97,15 +96,10 @@
         server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
     def others(self, slot):
-        """The servers that the slots after this one lead to, each once: whom to try where the slot's own
-        will not do. Every proxy finds the same ones, and none goes over the whole fleet for a session."""
-        seen = {}
-        for step in range(1, self.reach):
-            at = (slot + step) % self.size
-            server = self.new[at] or self.current[at]
-            if server is not None and server not in seen:
-                seen[server] = None
-                yield server
+        """Whom the slots after this one lead to, for where its own server will not do. Every proxy finds the
+        same ones, and none goes over the whole fleet for a session."""
+        for at in range(slot + 1, slot + self.reach):
+            yield self.new[at % self.size] or self.current[at % self.size]
 
     def stand(self, servers, slots, opened, known):
         """As another process of this proxy left it."""
@@ -230,8 +224,7 @@
 
     def sample(self, now, server, report):
         if self.source and report and len(report) == len(self.names):
-            figure = report[self.names.index(self.source)]
-            if figure is not None and figure >= 0 and math.isfinite(figure):
+            if (figure := report[self.names.index(self.source)]) is not None and 0 <= figure < math.inf:
                 server.samples.append((now, figure))
 
     def figure(self, now, server):
@@ -459,10 +452,9 @@
 class Ways:
     """How long an answer takes from a server to this proxy and back, by the last few probes.
 
-    Messages take as long: where that alone misses their target, the way is slow, or the server behind it is
-    swamped, stopped now and then, or loses what is sent and is asked again; all alike to who waits. Of one
-    not asked of late the others of its zone tell, as what delays many lies between. It could do harm where
-    probes wait and messages don't; so it only puts a server behind those that answer in time."""
+    Messages take as long: where that alone misses their target, the way is slow or the server swamped; alike
+    to who waits. Of one not asked of late the others of its zone tell. It could do harm where probes wait and
+    messages don't; so it only puts a server behind those that answer in time."""
 
     def __init__(self, fresh):
         self.fresh = fresh
@@ -498,8 +490,6 @@
     def failing(self, now, server):
         """No fixed time stands for its return: one session at a time tries it, and until that one has stood
         a while nothing else goes there; each failure among the last few doubles the wait for the next try."""
-        if len(server.results) < 2:
-            return False
         recent = [(when, well) for when, well in server.results if when > now - self.memory]
         bad = [when for when, well in recent if not well]
         if len(bad) < 2 or 3 * len(bad) < len(recent):
@@ -530,41 +520,46 @@
 
 
 class ColdBudget:
-    """Rule 4: this proxy's part of what a server that has just started can take."""
+    """Rule 4: this proxy's part of what a server that has just started can take.
 
-    def __init__(self, uniform, levels, start_share, cold_for, multiple, window):
-        self.uniform, self.start_share, self.cold_for = uniform, start_share, cold_for
-        self.multiple, self.window, self.levels = multiple, window, levels
+    Less than one dial is neither rounded up nor kept for later: in a herd all would use theirs at once. In
+    which windows it makes a whole one goes by the proxy's number, so that the sum over all is right though
+    they can't talk to one another (docs/design/cold-servers.md)."""
 
-        # Where proxies know each other: (server, dials in a window for each connection that it bears) ->
-        # this one's dials in a window. Parts of less than one dial each add up to more by chance.
-        self.rights = None
+    GOLDEN = (math.sqrt(5) - 1) / 2
+
+    def __init__(self, levels, start_share, cold_for, multiple, window, number, proxies):
+        self.levels, self.start_share, self.cold_for = levels, start_share, cold_for
+        self.multiple, self.window, self.number, self.proxies = multiple, max(1.0, window), number, proxies
+        self.since = math.inf   # this process began; the one before it may have dialled
+        self.rights = None      # where proxies know each other: (server, dials for each borne) -> own dials
 
     def cold(self, now, server):
         return server.started is not None and now < server.started + self.cold_for
 
-    def joined(self, now, server):
-        # The part of one proxy may be far below one session. Each starts with a part of one at random:
-        # rounded up by all, a cold server would be pushed over, rounded down by all it would never fill.
-        server.credit, server.credited = self.uniform(0.0, 1.0), now
+    def turn(self, now, server):
+        """Between 0 and 1, anew each window, which no two proxies begin together. Multiples of the golden
+        ratio fill the circle evenly (Steinhaus's three gaps): below a part lies that part of the proxies."""
+        window = max(0.0, now - server.started) / self.window + self.number / self.proxies
+        return ((self.number + int(window)) * self.GOLDEN + server.draws[0] / 2 ** 32) % 1.0
 
     def allows(self, now, server):
         if not self.cold(now, server):
             return True
-        age = max(0.0, (now + server.credited) / 2 - server.started)
-        ready = self.start_share + (1 - self.start_share) * age / self.cold_for
+        ready = self.start_share + (1 - self.start_share) * max(0.0, now - server.started) / self.cold_for
         # A server fills over its warm-up at the fastest; a quarter is left for repeats, probes, handshakes.
-        unit = 0.75 / self.cold_for * ready * self.multiple
-        rate = (unit * self.levels.borne if self.rights is None
-                else self.rights(server.name, unit * self.window) / self.window)
-        most = max(1.0, rate * self.window / 4)
-        server.credit = min(most, server.credit + rate * (now - server.credited))
-        server.credited = now
-        return server.credit >= 1.0
+        unit = 0.75 * ready * self.multiple * self.window / self.cold_for
+        part = unit * self.levels.borne if self.rights is None else self.rights(server.name, unit)
+        while server.cold_dials and server.cold_dials[0] <= now - self.window:
+            server.cold_dials.popleft()
+        # Two turns that follow one another fall into one window of the server's: each has half of the part.
+        most = int(part) + (self.turn(now, server) < part % 1.0 / 2)
+        return len(server.cold_dials) < most and now >= self.since + self.window
 
     def dialled(self, now, server):
         server.dialled.append(now)
-        server.credit -= 1.0
+        if self.cold(now, server):
+            server.cold_dials.append(now)
 
 
 class DialBudget:
@@ -575,10 +570,8 @@
 
     def __init__(self, free, share, span):
         self.free, self.share, self.span = free, share, span
-        most = None if span else 0
-        self.taken = deque(maxlen=most)     # when sessions came, of the last span
-        self.spent = deque(maxlen=most)     # (when, utility of the session) of further dials
-        self.asked = deque(maxlen=most)     # the same, of those wanted, made or not
+        # Of the last span: when sessions came; (when, utility of the session) of further dials; of wanted.
+        self.taken, self.spent, self.asked = (deque(maxlen=None if span else 0) for _ in range(3))
         self.withheld = 0
 
     def wanted(self, now, sess):
@@ -629,21 +622,16 @@
 class Admission(Stage):
     """Takes a session in, and gives its final answer when no later stage could.
 
-    Exception: while set-ups fail at many servers, only so many may be under way at once, halved as
-    they fail and growing as they succeed. Clients that return together would otherwise swamp what
-    all set-ups depend on, and keep it swamped by coming again. One each is still too many where there
-    are hundreds of proxies: below one, the next set-up waits for longer and longer.
-    """
+    Exception: while set-ups fail at many servers, only so many may be under way at once, halved as they fail
+    and growing as they succeed. Clients that return together would otherwise keep swamped what all set-ups
+    depend on. One each is still too many of hundreds of proxies: below one, the next waits ever longer."""
 
     def __init__(self, actions, uniform, health, longest_wait, most_set_ups, least_set_ups, pause, cut_wait,
                  hold):
         self.actions, self.uniform, self.health = actions, uniform, health
-        self.hold, self.longest_wait = hold, longest_wait
-        self.most_set_ups, self.least_set_ups = most_set_ups, least_set_ups
-        self.pause, self.cut_wait = pause, cut_wait
-        self.window = float(most_set_ups)
-        self.cut_at = -math.inf
-        self.next_at = -math.inf
+        self.most_set_ups, self.least_set_ups, self.window = most_set_ups, least_set_ups, float(most_set_ups)
+        self.pause, self.cut_wait, self.hold, self.longest_wait = pause, cut_wait, hold, longest_wait
+        self.cut_at = self.next_at = -math.inf
         self.under_way = {}
 
     def enter(self, now, sess):
@@ -688,12 +676,11 @@
     def __init__(self, actions, table, levels, roster, health, ways, cold, budget, probes, most_dials,
                  most_asked, recent):
         self.ways, self.actions, self.budget, self.probes = ways, actions, budget, probes
-        self.most_asked, self.recent = most_asked, recent
         self.waiting = {}       # server -> sessions that wait for its answer
         self.patience = {}      # number of the wait -> (session, server)
         self.waits = 0
         self.levels, self.table, self.roster, self.health = levels, table, roster, health
-        self.cold, self.most_dials = cold, most_dials
+        self.cold, self.most_dials, self.most_asked, self.recent = cold, most_dials, most_asked, recent
 
     def enter(self, now, sess):
         sess.slot = self.table.slot(sess)
@@ -859,17 +846,12 @@
 
 def may_redial(now, sess, server):
     """Rule 2, for a session none of whose dials is out."""
-    listener = sess.listener
-    if listener.repeat is Repeat.REPEATABLE:
-        return True
-    if listener.repeat is Repeat.ONCE_ONLY:
-        return not ran(sess)
-
-    def drops_repeats_of(dial):
-        scope = listener.scope
-        return scope == "all" or getattr(server, scope) == getattr(dial.server, scope)
-
-    return all(now < dial.sent + listener.window and drops_repeats_of(dial) for dial in ran(sess))
+    listener, scope = sess.listener, sess.listener.scope
+    if listener.repeat is not Repeat.REFERENCED:
+        return listener.repeat is Repeat.REPEATABLE or not ran(sess)
+    return all(now < dial.sent + listener.window
+               and (scope == "all" or getattr(server, scope) == getattr(dial.server, scope))
+               for dial in ran(sess))
 
 
 def may_refuse(sess):
@@ -892,13 +874,12 @@
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
-                 nines=0.0, tells_late=False):
+                 nines=0.0, tells_late=False, number=None):
         self.actions, self.passes_through = actions, passes_through
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
-                               zone=zone, near=self.nearness(crossing_price, move_price),
-                               reach=32)
+                               zone=zone, near=self.nearness(crossing_price, move_price), reach=32)
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, floor=5.0,
                                  late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK,
                                  tells_late=tells_late)
@@ -908,7 +889,8 @@
         self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE,
                              shared_memory=5000.0)
         self.ways = Ways(fresh=5 * self.TICK)
-        self.cold = ColdBudget(rng.uniform, self.levels, start_share, cold_for, cold_multiple, cold_window)
+        self.cold = ColdBudget(self.levels, start_share, cold_for, cold_multiple, cold_window,
+                               rng.uniform(0.0, proxies) if number is None else number, proxies)
         self.budget = DialBudget(*(budget or (0.0, 0.0, 0.0)))
         admission = Admission(actions, rng.uniform, self.health, longest_wait, most_set_ups=256,
                               least_set_ups=1 / 32, pause=250.0, cut_wait=500.0, hold=self.EARLY)
@@ -932,6 +914,7 @@
 
     def on_start(self, now):
         self.roster.begin(now)
+        self.cold.since = now
         # Proxies that start together would otherwise probe every server in the same instant.
         self.actions.alarm("tick", now + self.uniform(0.1, 1.0) * self.TICK)
 
@@ -941,7 +924,6 @@
         for server in joined:
             # In unlike order at each proxy, or all would probe the same servers first.
             server.asked = now - self.uniform(1.0, 2.0) * self.CONNECTION_LIFE
-            self.cold.joined(now, server)
         for what, servers in (("joined", joined), ("left", left)):
             if servers:
                 self.actions.log(f"list: {len(servers)} {what}, {len(self.roster.servers)} ready")
