Dials: none is begun for a client whose end lies unread

Term: a client that closes its connection or cancels its request (ends its sending) has gone: no dial, first or further, begins over 0.1 s later, also where its end was queued in the kernel while this process was busy.

Seen over loopback, the loop held for 0.15 s with the end unread (tests/test_terms.py): no line left for a client that had gone, but a connection to the server was begun with its line and end unread together (by close, half close and reset), between two dials after a reset, and where the very turn that settled the dial took long. Not with a probe, the first list or an alarm awaited: ruled out by tests of their own. Cause: Dialled.connected looked at what lies unread once the connection was up; Carried.connect and Wire.connect did not look before.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -4,6 +4,7 @@
 import random
 import select
 import socket
+import time
 
 import pytest
 
@@ -205,3 +206,129 @@
     assert max(first) < TOLD / 2 and max(gaps) < TOLD / 2 - 200
     assert max(gaps) - min(gaps) > 1000
     assert proxies == 1 or max(first) - min(first) > 2000
+
+
+# Who has left
+
+PROBED = {"report": {"how": "on_probe", "names": ["x0"]}, "limits": {"maxDials": 3, "mayProbe": True}}
+
+
+def leave(client, how):
+    """Closes its connection, or cancels: ends its sending on it."""
+    if how == "resets":
+        client.reset()
+    elif how == "closes":
+        client.sock.close()
+    else:
+        client.finish()
+
+
+def held(turns, spent=0.15):
+    """This process is busy for so long with something else, or stopped."""
+    time.sleep(spent)
+
+
+def begun(turns):
+    """Connections that came to the servers and are none for probes: these ask at once."""
+    count = 0
+    while turns.dialled():
+        sock = turns.taken().sock
+        try:
+            count += not sock.recv(4096).startswith(b"STATS")
+        except ConnectionResetError:
+            count += 1
+    return count
+
+
+def with_its_line_unread(turns, how):
+    turns.watched("a", "b")
+    client = turns.open()
+    leave(client, how)
+    held(turns)
+
+
+def before_the_first_list(turns, how):
+    client = turns.open()
+    turns.until(lambda: turns.proxy.early)
+    watch, _ = turns.watch()
+    turns.head(watch)
+    turns.chunk(watch, json.dumps(turns.list("a", "b")) + "\n")
+    leave(client, how)
+    held(turns)
+
+
+def as_its_time_to_wait_for_the_list_ends(turns, how):
+    client = turns.open(d=400)
+    turns.until(lambda: turns.proxy.early)
+    leave(client, how)
+    held(turns)
+
+
+def while_a_probe_is_awaited(turns, how):
+    turns.watched("a", "b")
+    client = turns.open()
+    link = turns.taken()
+    turns.hears(link)
+    link.say("PONG x0=0.1")
+    leave(client, how)
+    held(turns)
+
+
+def as_the_wait_for_a_probe_ends(turns, how):
+    turns.watched("a", "b")
+    client = turns.open()
+    turns.hears(turns.taken())
+    leave(client, how)
+    held(turns)
+
+
+def between_two_dials(turns, how):
+    turns.watched("a", "b")
+    client = turns.open()
+    server = turns.taken()
+    turns.hears(server)
+    server.say("BUSY")
+    leave(client, how)
+    held(turns)
+
+
+def as_a_dial_s_time_ends(turns, how):
+    turns.watched("a", "b")
+    client = turns.open(d=200)
+    turns.hears(turns.taken())
+    leave(client, how)
+    held(turns)
+
+
+LEFT = (with_its_line_unread, before_the_first_list, as_its_time_to_wait_for_the_list_ends, while_a_probe_is_awaited,
+        as_the_wait_for_a_probe_ends, between_two_dials, as_a_dial_s_time_ends)
+
+
+@pytest.mark.parametrize("how", ("closes", "cancels", "resets"))
+@pytest.mark.parametrize("when", LEFT, ids=lambda when: when.__name__)
+def test_who_has_left_is_not_dialled(when, how):
+    """Its end lies unread as what it waited for comes to pass: not even a connection is begun."""
+    probed = when in (while_a_probe_is_awaited, as_the_wait_for_a_probe_ends)
+    with Turns(settings=PROBED if probed else None) as turns:
+        when(turns, how)
+        turns.for_ms(60)
+        assert not turns.proxy.clients and not turns.proxy.early
+        assert begun(turns) == 0
+
+
+def test_a_turn_that_takes_long_begins_no_dial_behind_an_end():
+    """The line is read and its dial settled; then the rest of that very turn takes long, and the client leaves."""
+    with Turns() as turns:
+        turns.watched("a", "b")
+        client = turns.open()
+        connect, left = turns.proxy.connect, []
+
+        def slow(*told):
+            connect(*told)
+            leave(client, "cancels")
+            held(turns)
+            left.append(True)
+        turns.proxy.connect = slow
+        turns.until(lambda: left)
+        turns.for_ms(60)
+        assert not turns.proxy.clients and begun(turns) == 0
--- a/wheathill/net/machine.py
+++ b/wheathill/net/machine.py
@@ -27,6 +27,12 @@
         self.timer.cancel()
         self.timer = self.clock.after(wait, call, *args)
 
+    @property
+    def held_back(self):
+        """Whether the connection is not to be begun yet, asked right before, a turn later again: what lies unread
+        here may be against it. A machine that finds so ends its wire."""
+        return False
+
     def connected(self):
         """The connection is up."""
 
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -31,12 +31,17 @@
         self.until = self.started + time_out
         self.set_timer(min(time_out, connect), self.give_up, Outcome.CONNECT_FAILED)
 
+    @property
+    def held_back(self):
+        """That its client has left, or that the list says its server leaves, may have come in one turn with what
+        calls for this dial, or while this process stood still: it is read first."""
+        client = self.client.wire
+        return not self.over and (self.door.list_unread or client.open and client.unread)
+
     def connected(self):
         if self.over:
             return
-        if self.door.list_unread or self.client.wire.unread:
-            # They came in one turn, or while this process stood still: that its client has left, or that the list says
-            # its server leaves, is read first.
+        if self.held_back:
             return self.clock.soon(self.connected)
         left = self.until - self.clock.now()
         # With nothing left it would be sent in vain, and might have run.
