Descriptors: links and idle clients make room for sessions, each use of the spare ones has its own part

Term: idle clients may fill the descriptors while discovery is down; at its return lists, dials and answers work at once.

Seen over loopback with the system's own limit set to the proxy's (tests/test_terms.py): 160 descriptors, sessions until BUSY, then 300 who connect and say nothing, half a line or PING, discovery refused meanwhile. The watch, the list and the operators' door worked; ruled out as causes. Four faults, each test seen to fail before: - a session ends, and who was connected and says OPEN then was answered BUSY: idle clients stood in the spare descriptors, and Carried.opened counted them as taken. It now ends those that ask for nothing, oldest first, first links for probes on which none is out. - links for probes at rest pushed sessions out: 36 of 51 sessions fitted (160 descriptors, 60 servers), none of 10 beside 40 (96). - newcomers and dials shared one bound (half of the spare ones), so that newcomers kept a session that was turned away from its next dial. Of the spare ones now three eighths for newcomers, four for dials, five for probes; the rest is for discovery, operators and files. - probes had no bound at all; past theirs they are held against nobody. An aborted connection counts as given back at once: it is closed before anything begun after it.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,16 +1,20 @@
 """The terms that hold from now on, each forced over loopback (docs/design/terms.md)."""
 
 import json
+import os
 import random
+import resource
 import select
 import socket
 import time
+from contextlib import ExitStack
 
 import pytest
 
-from drive import Drive
+from drive import Drive, Peer, Rig
 from turns import Turns
 from wheathill.model import ListKind
+from wheathill.net.carried import NEWCOMERS
 
 TOLD = 6000.0           # a change that discovery has and can be reached for counts as told so many ms later
 
@@ -332,3 +336,164 @@
         turns.until(lambda: left)
         turns.for_ms(60)
         assert not turns.proxy.clients and begun(turns) == 0
+
+
+# Descriptors
+
+class Served:
+    """The servers of a rig, which answer probes and let everyone in, as the test goes on."""
+
+    def __init__(self, rig):
+        self.rig, self.held = rig, {}
+        for listening in rig.servers.values():
+            listening.setblocking(False)
+
+    def step(self):
+        for name, listening in self.rig.servers.items():
+            while select.select([listening], [], [], 0)[0]:
+                try:
+                    self.held[listening.accept()[0]] = name
+                except BlockingIOError:
+                    break
+        for sock in select.select(list(self.held), [], [], 0.001)[0]:
+            try:
+                told = sock.recv(4096)
+                if told.startswith(b"STATS"):
+                    sock.sendall(b"PONG x0=0.1\r\n")
+                elif told.startswith(b"OPEN"):
+                    sock.sendall(b"UP %s\r\n" % self.held[sock].encode())
+            except OSError:
+                told = b""
+            if not told:
+                del self.held[sock]
+                sock.close()
+
+    def until_heard(self, client, at_most=3.0):
+        end = time.monotonic() + at_most
+        while time.monotonic() < end and not select.select([client.sock], [], [], 0)[0]:
+            self.step()
+        return client.hear()
+
+
+def still_there(sock):
+    """Not ended by the proxy, with what it has said so far read."""
+    try:
+        while sock.recv(4096, socket.MSG_DONTWAIT):
+            pass
+        return False
+    except BlockingIOError:
+        return True
+    except ConnectionResetError:
+        return False
+
+
+def descriptors(rig):
+    return len(os.listdir(f"/proc/{rig.process.pid}/fd"))
+
+
+@pytest.mark.parametrize("says,probed", (("", False), ("", True), ("PING\r\n", True), ("OPEN id", False)))
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(says, probed):
+    """Sessions take all that is theirs, then hundreds connect who ask for nothing. At discovery's return the list is in
+    force and operators are answered at once, and with the first session that ends one of those is dialled for."""
+    most, names, idle = 160, tuple(f"s{number}" for number in range(60)), []
+    with Rig(names=names, sockets=most, settings=PROBED if probed else None) as rig, ExitStack() as kept_open:
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (most, most))
+        rig.watched(*names)
+        at = rig.discovery.getsockname()
+        rig.watch.sock.close()
+        rig.discovery.close()
+        kept_open.callback(lambda: [sock.close() for sock in (*served.held, *idle, *(peer.sock for peer in rig.peers))])
+        served, up = Served(rig), []
+        while True:
+            client = rig.open(f"k{len(up)}")
+            if not served.until_heard(client).startswith("UP"):
+                break
+            up.append(client)
+        # What probes hold at rest makes room for sessions: two descriptors each.
+        assert 2 * len(up) >= most - 57 - 4
+        for _ in range(300):
+            idle.append(socket.create_connection(rig.address))
+            idle[-1].sendall(says.encode())
+            served.step()
+            assert descriptors(rig) <= most
+        end = time.monotonic() + 1.0
+        while time.monotonic() < end:       # probes go out
+            served.step()
+        assert descriptors(rig) <= most
+        rig.discovery = socket.create_server(at, backlog=64)
+        rig.discovery.settimeout(1.0)
+        rig.watched(*names[:-1])
+        rig.call("GET /status")
+        rig.call(f"PUT /maintenance/enter?host={names[0]}")
+        assert [line.split()[2] for line in rig.lines[-2:]] == ["200", "200"]
+        metrics = rig.call("GET /status/metrics")
+        assert metrics["members"] == 59 and metrics["members_unavailable"] == 1
+        before = descriptors(rig)
+        up.pop().sock.close()
+        while descriptors(rig) > before - 2:
+            served.step()
+        connected = Peer(rig, "client", [sock for sock in idle if still_there(sock)][-1])
+        connected.say(("" if says.startswith("OPEN") else "OPEN id") + "-q k c=any,t=t,d=2000")
+        assert served.until_heard(connected).startswith("UP")
+        assert descriptors(rig) <= most
+        rig.process.kill()
+        assert [line for line in rig.process.stdout if b'"fault"' in line] == []
+
+
+def test_a_dial_is_kept_a_descriptor_while_newcomers_fill_the_rest():
+    """Its session was taken in; all who can connect meanwhile, say nothing, and it is turned away."""
+    with Turns(sockets=288) as turns:
+        turns.watched("a", "b")
+
+        def up(key):
+            client, server = turns.open(key), turns.taken()
+            turns.hears(server)
+            server.say("UP r1")
+            turns.hears(client)
+        while turns.carrier.free > 6:
+            up(f"k{turns.carrier.free}")
+        client = turns.open("q")
+        server = turns.taken()
+        turns.hears(server)
+        for _ in range(120):
+            turns.client()
+            turns.turn(2)
+        assert not turns.proxy.spare(NEWCOMERS)
+        server.say("BUSY")
+        server = turns.taken()
+        turns.hears(server)
+        server.say("UP r1")
+        assert turns.hears(client) == "UP r1"
+
+
+def test_links_at_rest_make_room_for_sessions():
+    """More servers are probed than descriptors are left beside the sessions."""
+    names = tuple(f"s{number}" for number in range(40))
+    with Turns(names, settings=PROBED, sockets=96) as turns:
+        turns.watched(*names)
+        for name in names:
+            turns.proxy.probe(turns.proxy.servers[name])
+            link = turns.taken(name)
+            turns.hears(link)
+            link.say("PONG x0=0.1")
+            turns.until(lambda name=name: not turns.proxy.links[turns.proxy.servers[name]].asked)
+        assert turns.carrier.free <= 7
+        for number in range(10):
+            client = turns.open(f"k{number}")
+            server = turns.taken()
+            while not turns.hears(server).startswith("OPEN"):
+                server.say("PONG x0=0.1")
+                server = turns.taken()
+            server.say("UP r1")
+            assert turns.hears(client) == "UP r1"
+
+
+def test_without_a_descriptor_left_a_probe_is_held_against_nobody():
+    with Turns(settings=PROBED) as turns:
+        turns.watched("a", "b")
+        server = turns.proxy.servers["a"]
+        turns.carrier.lent = turns.carrier.free + turns.node().limits.spare_sockets
+        server.probed = turns.proxy.now()
+        turns.proxy.probe(server)
+        turns.turn(2)
+        assert not turns.dialled() and server.probed is None and not server.silent
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -9,6 +9,10 @@
 from wheathill.net.server import Dialled, ProbeLink
 from wheathill.policy import may_redial, may_refuse
 
+# Of the spare descriptors, in eighths: so far newcomers are taken in, those taken in are dialled for, and servers are
+# asked. The rest is for discovery, the operators' door and files.
+NEWCOMERS, DIALS, PROBES = 3, 4, 5
+
 
 def busy(come_back_after):
     return b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY"
@@ -31,17 +35,39 @@
         that has come and was not read yet is asked for."""
         if self.fits():
             return True
-        late = self.now() - self.limits.ask_within
-        for client in [client for client, since in islice(self.silent.items(), self.limits.accepts)
-                       if since < late and not client.wire.unread]:
-            del self.silent[client]
-            client.timer.cancel()
-            client.wire.abort()
+        for client in self.asking_nothing(self.limits.accepts):
+            self.shut(client)
         return self.fits()
 
     def fits(self):
-        return len(self.silent) < self.limits.sockets // 6 and \
-            self.carrier.free >= -self.limits.spare_sockets / 2
+        return len(self.silent) < self.limits.sockets // 6 and self.spare(NEWCOMERS)
+
+    def spare(self, eighths):
+        """Whether so many eighths of the spare descriptors are not all taken. Each use stops sooner than the next
+        one: who may be most may take least."""
+        return self.carrier.free > -self.limits.spare_sockets * eighths / 8
+
+    def asking_nothing(self, count):
+        """Of so many that have sent no line, the oldest."""
+        late = self.now() - self.limits.ask_within
+        return [client for client, since in islice(self.silent.items(), count)
+                if since < late and not client.wire.unread]
+
+    def shut(self, client):
+        del self.silent[client]
+        client.timer.cancel()
+        client.wire.abort()
+
+    def make_room(self):
+        """Whether a session may be dialled for. What only rests makes room for it: links on which no probe is out,
+        then clients that ask for nothing."""
+        if self.carrier.free <= 0:
+            for link in [link for link in self.links.values() if not link.asked][:1 - self.carrier.free]:
+                link.end(None)
+        if self.carrier.free <= 0:
+            for client in self.asking_nothing(1 - self.carrier.free):
+                self.shut(client)
+        return self.carrier.free > 0
 
     def opened(self, client, came=None):
         """`came`: when its line did, where that was a while ago."""
@@ -68,7 +94,7 @@
                        load=head.number("h"), mid_flow=head.flag("mid"),
                        returning=head.flag("again"), repeat=head.flag("r"))
         self.note_id(head, sess)
-        if self.carrier.free <= 0:
+        if not self.make_room():
             self.figures.count("no sockets")
             self.answer(client, self.come_back(listener))
         elif "at" in head.values:
@@ -384,7 +410,7 @@
         client = self.clients[sess]
         if len(sess.dials) > 1:
             self.figures.count("further dials")
-        if self.carrier.free <= -self.limits.spare_sockets / 2:
+        if not self.spare(DIALS):
             self.clock.soon(self.no_socket, sess, sess.dials[-1])
         else:
             self.connect(client, server, time_out)
@@ -431,12 +457,18 @@
         self.figures.count("probes")
         link = self.links.pop(server, None)
         if link is None:
-            if len(self.links) >= self.limits.probe_links:
+            if len(self.links) >= self.limits.probe_links or self.carrier.free <= 0:
                 self.close_link()
+            if not self.spare(PROBES):
+                return self.clock.soon(self.no_probe, server)
             link = self.new_link(server)
         self.links[server] = link
         link.ask(self.now() + self.limits.probe)
 
+    def no_probe(self, server):
+        """Held against nobody: no descriptor is left to ask."""
+        self.balancer.on_probed(self.now(), server, Outcome.FULL, None)
+
     def new_link(self, server):
         link = ProbeLink(server, self, self.limits, self.clock)
         link.wire = self.carrier.connect(link, self.addresses[server])
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -412,6 +412,8 @@
             self.transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.transport.abort()
+        # Closed a turn later, but before anything that is begun from now on.
+        self.count(False)
 
 
 class Datagrams(Guarded, asyncio.DatagramProtocol):
