--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -104,3 +104,20 @@
     """Set the figures of two kept runs or sweeps side by side."""
     from wheathill.lab.tools import experiments
     sys.exit(experiments.compare(one, other))
+
+
+class Scale(click.Group):
+    """The commands of `lab scale`, imported once one is asked for."""
+
+    def list_commands(self, context):
+        from wheathill.lab.scale.commands import COMMANDS
+        return list(COMMANDS)
+
+    def get_command(self, context, name):
+        from wheathill.lab.scale.commands import COMMANDS
+        return COMMANDS.get(name)
+
+
+@lab.group(cls=Scale)
+def scale():
+    """Measure how the cost of one proxy grows."""
--- /dev/null
+++ b/wheathill/lab/scale/parts.py
@@ -0,0 +1,80 @@
+"""The real proxy with its parts timed: `python -m wheathill.lab.scale.parts`, as `python -m wheathill`. On SIGUSR1 it
+writes what each took since the last time, less what other parts took within it, to the file that SCALE_PARTS names.
+
+Only what runs by the clock is wrapped, a few calls a second, so that timing them costs nothing that shows."""
+
+import gc
+import json
+import os
+import signal
+import sys
+import time
+
+from wheathill import policy
+from wheathill.__main__ import main
+from wheathill.net.proxy import Proxy
+
+WRAPPED = {Proxy: ("sweep", "log_figures"), policy.Balancer: ("tick", "relieve"),
+           policy.SlotTable: ("close", "halve"), policy.LoadLevels: ("believe", "learn", "levels"),
+           policy.Probes: ("due",)}
+
+
+class Parts:
+    """Processor time by name, of the one thread that serves."""
+
+    def __init__(self):
+        self.spent, self.calls = {}, {}
+        self.open = []          # what the parts within each took
+        self.since = time.process_time(), time.monotonic()
+
+    def time(self, name, call, *args):
+        self.open.append(0.0)
+        begun = time.thread_time()
+        try:
+            return call(*args)
+        finally:
+            self.took(name, time.thread_time() - begun)
+
+    def took(self, name, spent):
+        within = self.open.pop()
+        if self.open:
+            self.open[-1] += spent
+        self.spent[name] = self.spent.get(name, 0.0) + spent - within
+        self.calls[name] = self.calls.get(name, 0) + 1
+
+    def wrap(self, kind, method):
+        name, call = f"{kind.__name__}.{method}", getattr(kind, method)
+        setattr(kind, method, lambda *args: self.time(name, call, *args))
+
+    def collecting(self, phase, _):
+        if phase == "start":
+            self.open.append(0.0)
+            self.collect_begun = time.thread_time()
+        elif self.open:
+            self.took("garbage collection", time.thread_time() - self.collect_begun)
+
+    def tell(self, *_):
+        now = time.process_time(), time.monotonic()
+        whole, seconds = now[0] - self.since[0], now[1] - self.since[1]
+        found = {"seconds": seconds, "processor_s": whole, "parts": {
+            name: {"s": spent, "calls": self.calls[name]} for name, spent in self.spent.items()}}
+        path = os.environ["SCALE_PARTS"]
+        with open(path + ".new", "w") as out:
+            json.dump(found, out)
+        os.rename(path + ".new", path)
+        self.spent, self.calls, self.since = {}, {}, now
+
+
+def run():
+    parts = Parts()
+    for kind, methods in WRAPPED.items():
+        for method in methods:
+            parts.wrap(kind, method)
+    gc.callbacks.append(parts.collecting)
+    signal.signal(signal.SIGUSR1, parts.tell)
+    sys.argv[1:] = []
+    return main()
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/wheathill/lab/scale/table.py
@@ -0,0 +1,241 @@
+"""What grows with the number of servers: the slot table, the list, the clock's work on both, and probes.
+
+No sockets: a proxy's own objects (`net.proxy.Proxy`, the state machine of its watch and the decisions), fed by hand.
+Times are processor time of this process.
+"""
+
+import asyncio
+import random
+import time
+import tracemalloc
+from collections import Counter
+from statistics import fmean
+
+import orjson
+
+from wheathill.config import node_of
+from wheathill.lab.scale import fit
+from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
+from wheathill.net.clock import Clock
+from wheathill.net.discovery import Watch
+from wheathill.net.driver import Carrier
+from wheathill.net.proxy import Proxy
+from wheathill.policy import Balancer, slot_draws
+
+SHARDS = 420_000
+SERVERS = 8_000
+RATES = (0.1, 1.0, 10.0, 100.0, 1000.0)     # sessions a second, for which probes are counted
+USUAL = dict(zone=0, proxies=2800, report_names=["x0"], may_probe=True, must_ask=False, ask_every=10_000.0,
+             drain_grace=500.0, sized=True, start_share=0.2, cold_for=10_000.0, cold_multiple=3.0,
+             cold_window=1000.0, most_dials=3, longest_wait=1000.0, crossing_price=0.0, move_price=0.0,
+             passes_through=False)
+
+
+def host(place):
+    return {"host": f"server-{place:05}.zone-{place % 15}",
+            "dial": f"10.{place >> 16}.{place >> 8 & 255}.{place & 255}:7000", "site": f"zone-{place % 15}", "class": "m", "block": 1, "health": "ready", "share": 1.0,
+            "born_ms": 1_700_000_000_000}
+
+
+def proxy():
+    """One that holds no sockets; its log goes nowhere."""
+    loop = asyncio.new_event_loop()
+    node = node_of({"name": "p", "seed": "1", "listen": "127.0.0.1:1", "discovery": False, "known": {},
+                    "limits": {"sockets": 20_000, "memory_mb": 192},
+                    "settings": {"listeners": [{"name": "any", "repeat": "retryable", "dialTimeoutS": 2.0}],
+                                 "limits": {"mayProbe": True}, "familyInfo": {"mode": "proxy"},
+                                 "report": {"how": "on_probe", "names": ["x0"]},
+                                 "dcs": [f"zone-{zone}" for zone in range(15)]}})
+    log = lambda *_, **__: None     # noqa: E731
+    found = Proxy(node, Carrier(loop, node.limits, log), Clock(loop), log)
+    found.alarm = log               # nothing rings: the clock's work is called by hand
+    return found, loop
+
+
+class Timer:
+    """Processor ms."""
+
+    def __enter__(self):
+        self.begun = time.process_time()
+        return self
+
+    def __exit__(self, *_):
+        self.ms = 1000 * (time.process_time() - self.begun)
+
+
+def timed(call, *args, times=1):
+    with Timer() as timer:
+        for _ in range(times):
+            call(*args)
+    return timer.ms / times
+
+
+def at_servers(count, seed, say):
+    found = {"servers": count}
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    draws = [slot_draws(f"server-{place}", 512) for place in range(count)]
+    found["draws_bytes_a_server"] = (tracemalloc.get_traced_memory()[0] - before) / count
+    del draws
+    before = tracemalloc.get_traced_memory()[0]
+    here, loop = proxy()
+    whole = {"seq": 1, "whole": True, "hosts": [host(place) for place in range(count)]}
+    text = orjson.dumps(whole)
+    del whole
+    here.listed(orjson.loads(text))
+    found["list_bytes_held_a_server"] = (tracemalloc.get_traced_memory()[0] - before) / count
+    tracemalloc.stop()
+    loop.close()
+    del here
+    found.update(lists(count, text))
+    found.update(slots(count, seed))
+    found["probes"] = probes(count, seed)
+    say(f"{count:6} servers: a list of {found['list_bytes'] / 1000:.0f} KB in force after {found['list_ms']:.0f} ms, the same "
+        f"again {found['list_again_ms']:.0f}, one change {found['change_ms']:.1f} ms and {found['change_bytes']} bytes; "
+        f"{found['list_bytes_held_a_server'] / 1000:.1f} KB each; {found['with_slot']} have a slot, the most {found['most_slots']}; "
+        f"one leaves {found['leave_ms']:.1f} ms, a fifteenth {found['zone_leaves_ms']:.0f} ms; a tick "
+        f"{found['tick_ms']:.1f} ms, {found['tick_probing_ms']:.1f} while probing")
+    return found
+
+
+def lists(count, text):
+    """A list as it comes over the watch, in pieces of the receive buffer."""
+    here, loop = proxy()
+    here.next_watch = here.clock.after(1e6, int)
+    watch = here.watch = Watch("x", 0, here, here.limits, here.clock)
+    watch.timer.cancel()
+    pieces = [text[start:start + here.limits.read] for start in range(0, len(text) + 1, here.limits.read)]
+
+    def take(parts):
+        for part in parts:
+            watch.take(part)
+        watch.take(b"\n")
+    found = {"list_bytes": len(text), "list_longest": here.limits.list_line}
+    with Timer() as first:
+        take(pieces)
+    ready = len(here.balancer.roster.servers)
+    found["list_ms"], found["list_taken"] = first.ms, ready == count
+    found["list_again_ms"] = timed(take, pieces)
+    drains = orjson.dumps({"seq": 2, "whole": False, "hosts": [{**host(1), "health": "draining"}]})
+    back = orjson.dumps({"seq": 3, "whole": False, "hosts": [host(1)]})
+    found["change_bytes"] = len(drains)
+    found["change_ms"] = (timed(take, [drains]) + timed(take, [back])) / 2
+    watch.timer.cancel()
+    here.next_watch.cancel()
+    loop.close()
+    return found
+
+
+def slots(count, seed):
+    """The table by itself: built, with one and with a fifteenth leaving, and what a slot is then."""
+    here, loop = proxy()
+    table = here.balancer.table
+    servers = [Server(host(place)["host"], zone=place % 15) for place in range(count)]
+    found = {"weigh_ms": sum(timed(table.weigh, server) for server in servers),
+             "join_ms": timed(table.update, 0.0, servers, {}, servers)}
+    held = Counter(table.current)
+    found |= {"slots": table.size, "with_slot": len(held), "most_slots": max(held.values()),
+              "shards_a_slot": SHARDS / table.size, "may_be_halved": sum(one > table.least + 1 for one in held.values()),
+              # A group's members go to its slot's server, then to those of the slots that follow.
+              "reach": fmean(1 + len(set(table.others(slot)) - {table.current[slot]}) for slot in range(table.size))}
+    live = dict.fromkeys(servers)
+    one = table.current[0]
+    del live[one]
+    found["leave_ms"] = timed(table.update, 1.0, [], {one: None}, live)
+    found["join_one_ms"] = timed(table.update, 2.0, [Server("another")], {}, live)
+    zone = [server for server in live if server.zone == 1]
+    for server in zone:
+        del live[server]
+    found["zone_leaves_ms"] = timed(table.update, 3.0, [], dict.fromkeys(zone), live)
+    loop.close()
+    return found | ticks(count, seed)
+
+
+class Quiet:
+    """Actions that count probes and do nothing."""
+
+    def __init__(self):
+        self.probed = []        # not answered yet
+        self.sent = 0
+
+    def probe(self, server):
+        self.probed.append(server)
+        self.sent += 1
+
+    def nothing(self, *_):
+        pass
+
+    dial = refuse = tear_down = move = follow_list = alarm = log = nothing
+
+
+def balancer(count, seed):
+    actions = Quiet()
+    made = Balancer(actions, random.Random(seed), **USUAL)
+    made.on_start(0.0)
+    servers = [Server(host(place)["host"], zone=place % 15) for place in range(count)]
+    made.on_list(0.0, ListKind.FULL, [(server, Phase.READY, 1.0, None) for server in servers])
+    return made, actions, servers
+
+
+def ticks(count, seed):
+    """The clock's work each second with no session: with no figure known, and with all known and a probe to each due."""
+    made, actions, servers = balancer(count, seed)
+    made.tick(1000.0)
+    found = {"tick_ms": timed(made.tick, 2000.0)}
+    for place, server in enumerate(servers):
+        made.levels.sample(2900.0, server, [0.2 + 0.4 * (place % 2)])
+        server.asked = 0.0
+    made.probes.earned = float(count)
+    found["tick_probing_ms"] = timed(made.tick, 3000.0)
+    return found
+
+
+def probes(count, seed):
+    """Probes a second at so many first sessions a second, each answered at once; 10 s are counted after 10 s."""
+    found = {}
+    for rate in RATES:
+        made, actions, servers = balancer(count, seed)
+        listener, came, before = Listener("any"), 0, 0
+        for second in range(1, 21):
+            while came < rate * second:
+                now = 1000.0 * came / rate
+                made.on_session(now, Session(listener, f"k{came}", now + 2000.0))
+                answer(made, actions, now)
+                came += 1
+            made.tick(1000.0 * second)
+            for _ in range(len(made.next_probes)):
+                made.on_alarm(1000.0 * second, "probe")
+            answer(made, actions, 1000.0 * second)
+            if second == 10:
+                before = actions.sent
+        found[f"{rate:g}"] = (actions.sent - before) / 10
+    return found
+
+
+def answer(made, actions, now):
+    """All that were asked, with a load that leaves room."""
+    while actions.probed:
+        server = actions.probed.pop()
+        made.on_probed(now, server, Outcome.COMPLETED, [0.3])
+
+
+SLOPES = ("list_bytes", "list_ms", "list_again_ms", "change_ms", "weigh_ms", "join_ms", "leave_ms", "zone_leaves_ms",
+          "tick_ms", "tick_probing_ms", "list_bytes_held_a_server")
+
+
+def measure(counts, *, seed, say):
+    by_servers = [at_servers(count, seed, say) for count in counts]
+    found = {"seed": seed, "by_servers": by_servers, "slopes": {}}
+    for name in SLOPES:
+        points = [(one["servers"], one[name]) for one in by_servers]
+        line = fit.fitted(points, ("constant", "linear", "square"))
+        found["slopes"][name] = {**line, f"at {SERVERS}": fit.at(line, SERVERS),
+                                 "largest": fit.predicted(points, ("constant", "linear", "square"))}
+        largest = found["slopes"][name]["largest"]
+        say(f"    {name:26} {line['form']:8} {line['start']:.4g} + {line['slope']:.4g} x, residual "
+            f"{100 * line['residual']:.0f}%, at {SERVERS}: {fit.at(line, SERVERS):.4g}" + (
+                f"; largest predicted {largest['predicted']:.4g}, measured {largest['measured']:.4g}" if largest else ""))
+    for one in by_servers:
+        say(f"    {one['servers']:6} servers: probes a second by sessions a second " + ", ".join(
+            f"{rate}: {sent:g}" for rate, sent in one["probes"].items()))
+    return found
