--- a/wheathill/lab/scale/data.py
+++ b/wheathill/lab/scale/data.py
@@ -19,24 +19,26 @@
 STEP = 1.25                 # from one rate to the next, where a core's limit is looked for
 KEPT_UP = 0.97              # of what was to be written or read: below it the stand-ins are the limit
 FULL = 0.95                 # of a core
+A_FEW_TICKS = 3.0           # seconds: the decisions go round once in each
 # Of its own: the largest topic's part of all listeners, 3.2 of 140 million, is less than a topic's here.
 TOPICS = 150
 
 
 class Spent:
-    """Processor seconds of a process over a stretch, and its length."""
+    """Processor seconds of a process over a stretch, its length, and the part in which it waited for a core."""
 
     def __init__(self, proxy, rest=0.0):
         self.proxy, self.rest = proxy, rest
 
     def __enter__(self):
-        self.processor, self.begun = self.proxy.processor_s(), time.monotonic()
+        (self.processor, self.wait), self.begun = self.proxy.scheduled_s(), time.monotonic()
         return self
 
     def __exit__(self, *_):
         self.seconds = time.monotonic() - self.begun
-        self.whole = self.proxy.processor_s() - self.processor
-        self.share = self.whole / self.seconds
+        processor, wait = self.proxy.scheduled_s()
+        self.whole = processor - self.processor
+        self.share, self.waited = self.whole / self.seconds, (wait - self.wait) / self.seconds
         self.net = max(0.0, self.whole - self.rest * self.seconds)
 
 
@@ -59,6 +61,7 @@
             "kb_a_connection": (standing[0] - bare[0]) / size,
             "descriptors_a_connection": (seen.descriptors(proxy.pid) - files) / size,
             "rest_core_share": rest.share, "empty_core_share": empty.share,
+            "waited_at_rest": rest.waited, "waited_at_handshakes": handshakes.waited,
             "handshake_ms": 1000 * handshakes.net / size,
             "handshake_latency_ms": merged([one["ms"] for one in ups]),
             "turned_away": sum(one["counts"]["refused"] + one["counts"]["failed"] for one in ups)}
@@ -72,7 +75,8 @@
         found["delivery_us"] = 1e6 * deliveries.net / max(1, found["delivery"]["count"])
         found["deliveries_lost"] = sum(one["written"] for one in written) - found["delivery"]["count"]
         with Spent(proxy, rest.share) as echoes:
-            ask_all(rig.clients, "ask", every=2.0, seconds=seconds, within=seconds * 5 + 60)
+            # As many lines a second at each size: what one takes depends on how many come at a time.
+            ask_all(rig.clients, "ask", every=2 * size / rate, seconds=seconds, within=seconds * 5 + 60)
             time.sleep(0.5)
         found["echo"] = latency(ask_all(rig.clients, "took"), "echoes")
         found["line_and_echo_us"] = 1e6 * echoes.net / max(1, found["echo"]["count"])
@@ -104,12 +108,12 @@
 def move(rig, proxy, size, rest):
     """Processor ms for each client that is told to move, without its return: the order to stop."""
     ask_all(rig.clients, "stay_away")
-    begun, spent = time.monotonic(), proxy.processor_s()
+    begun, spent = time.monotonic(), proxy.scheduled_s()[0]
     proxy.process.send_signal(signal.SIGTERM)
     last = spent
     while proxy.process.poll() is None and time.monotonic() < begun + 60.0:
         try:
-            last = proxy.processor_s()
+            last = proxy.scheduled_s()[0]
         except OSError:
             break
         time.sleep(0.02)
@@ -132,7 +136,7 @@
         rig.come(proxy, size, ARRIVALS)
         time.sleep(2.0)
         told(proxy, path)
-        time.sleep(seconds)
+        time.sleep(max(A_FEW_TICKS, seconds))
         found = told(proxy, path)
     parts = {name: {"core_share": part["s"] / found["seconds"], "a_second": part["calls"] / found["seconds"],
                     "ns_a_connection": 1e9 * part["s"] / max(1, part["calls"]) / size}
@@ -156,36 +160,53 @@
         return json.load(found)
 
 
-def one_core(size, *, processes, seconds, rate, seed, say):
-    """Deliveries at rising constant rates until 99 in 100 no longer arrive within the limit."""
+def one_core(size, *, processes, seconds, rate, seed, say, kind="deliveries"):
+    """Deliveries, or clients' lines with their echoes, at rising constant rates, until 99 in 100 no longer arrive
+    within the limit."""
     steps = []
     with Rig(processes, TOPICS, seed) as rig:
         proxy = rig.proxy()
         rig.come(proxy, size, ARRIVALS)
         ask_all(rig.clients, "took")
-        while True:
-            before = [[one["processor_s"] for one in ask_all(side, "count")] for side in (rig.servers, rig.clients)]
-            with Spent(proxy) as spent:
-                written = ask_all(rig.servers, "deliver", rate=rate / processes, seconds=seconds, seed=seed,
-                                  within=seconds * 10 + 60)
-            time.sleep(1.0)
-            took = latency(ask_all(rig.clients, "took", within=120.0), "deliveries")
-            after = [[one["processor_s"] for one in ask_all(side, "count")] for side in (rig.servers, rig.clients)]
-            share = [max(late - early for early, late in zip(*pair)) / spent.seconds for pair in zip(before, after)]
-            length = max(one["seconds"] for one in written)
-            steps.append({"rate": rate, "written_a_second": sum(one["written"] for one in written) / length,
-                          **took, "proxy_core_share": spent.share, "busiest_server_stand_in": share[0],
-                          "busiest_client_stand_in": share[1],
-                          "behind_ms": max(one["behind_ms"] for one in written)})
-            say(f"    {rate:8.0f} deliveries a second: p50 {took['p50']:.1f}, p99 {took['p99']:.1f} ms, "
-                f"proxy at {100 * spent.share:.0f}% of a core, stand-ins at most at {100 * max(share):.0f}%")
-            if took["p99"] > P99_MS or steps[-1]["written_a_second"] < KEPT_UP * rate or len(steps) >= 20:
-                break
+        while not steps or keeps_up(steps[-1]) and len(steps) < 20:
+            steps.append(step(rig, proxy, size, kind, rate, seconds, seed + len(steps)))
+            one = steps[-1]
+            say(f"    {rate:8.0f} {kind} a second: p50 {one['p50']:.1f}, p99 {one['p99']:.1f} ms, proxy at "
+                f"{100 * one['proxy_core_share']:.0f}% of a core, waiting for one {100 * one['proxy_waited']:.0f}%, "
+                f"{one['us']:.1f} us each, stand-ins at most at {100 * busiest(one):.0f}%")
             rate *= STEP
-    held = [step for step in steps if step["p99"] <= P99_MS and step["written_a_second"] >= KEPT_UP * step["rate"]]
-    return {"connections": size, "steps": steps, "most_at_p99": held[-1]["rate"] if held else None,
-            # Past the stand-ins' own limit nothing is learnt of the proxy.
-            "limit": "the proxy" if steps[-1]["proxy_core_share"] > FULL else "the stand-ins"}
+    held = [one for one in steps if keeps_up(one)]
+    return {"connections": size, "kind": kind, "steps": steps, "most_at_p99": held[-1]["rate"] if held else None,
+            # Past the stand-ins' own limit nothing is learnt of the proxy; nor where others had its core.
+            "limit": "the stand-ins" if busiest(steps[-1]) > FULL else
+                     "the proxy" if steps[-1]["proxy_core_share"] > FULL else "the proxy, or who shares its cores"}
+
+
+def busiest(one):
+    return max(one["busiest_server_stand_in"], one["busiest_client_stand_in"])
+
+
+def keeps_up(one):
+    return one["p99"] <= P99_MS and one["written_a_second"] >= KEPT_UP * one["rate"]
+
+
+def step(rig, proxy, size, kind, rate, seconds, seed):
+    busy = [[one["processor_s"] for one in ask_all(side, "count")] for side in (rig.servers, rig.clients)]
+    patience = seconds * 10 + 60
+    with Spent(proxy) as spent:
+        if kind == "deliveries":
+            written = ask_all(rig.servers, "deliver", rate=rate / len(rig.servers), seconds=seconds, seed=seed,
+                              within=patience)
+        else:
+            written = ask_all(rig.clients, "ask", every=size / rate, seconds=seconds, within=patience)
+    time.sleep(1.0)
+    took = latency(ask_all(rig.clients, "took", within=patience), kind)
+    after = [[one["processor_s"] for one in ask_all(side, "count")] for side in (rig.servers, rig.clients)]
+    share = [max(late - early for early, late in zip(*pair)) / spent.seconds for pair in zip(busy, after)]
+    length, count = max(one["seconds"] for one in written), sum(one["written"] for one in written)
+    return {"rate": rate, "written_a_second": count / length, **took, "proxy_core_share": spent.share,
+            "proxy_waited": spent.waited, "us": 1e6 * spent.whole / count, "busiest_server_stand_in": share[0], "busiest_client_stand_in": share[1],
+            "behind_ms": max(one["behind_ms"] for one in written)}
 
 
 def rush(size, *, processes, seconds, rate, seed, over, say):
@@ -211,7 +232,7 @@
         meanwhile = ask_all(stay, "took")
         for one in rig.servers:
             one.answer(seconds * 10 + 60)
-    found = {"connections": size, "come": size, "over_s": over, "all_up_s": took, "core_share": spent.share,
+    found = {"connections": size, "come": size, "over_s": over, "all_up_s": took, "core_share": spent.share, "waited": spent.waited,
              "processor_s": spent.whole, "handshakes_a_second": size / took,
              "from_loss_to_up_ms": merged([one["ms"] for one in back]),
              "delivery_before": latency(before, "deliveries"), "delivery_meanwhile": latency(meanwhile, "deliveries"),
@@ -262,6 +283,7 @@
         found["rest"] = parts_at_rest(sizes[-1], **told)
     if "core" in only:
         found["core"] = one_core(sizes[-1], rate=rate, **told)
+        found["core_lines"] = one_core(sizes[-1], rate=rate / 2, kind="echoes", **told)
     if "rush" in only:
         found["rush"] = rush(sizes[len(sizes) // 2] // 2, rate=rate, over=2.0, **{**told, "seconds": max(8.0, seconds)})
     return found
--- a/wheathill/lab/scale/rig.py
+++ b/wheathill/lab/scale/rig.py
@@ -104,8 +104,8 @@
         with open(self.log, "rb") as log:
             raise Failed(f"the proxy logged no {event!r}: {log.read()[-500:]!r}")
 
-    def processor_s(self):
-        return seen.processor_s(self.pid)
+    def scheduled_s(self):
+        return seen.scheduled_s(self.pid)
 
     def close(self):
         self.process.kill()
--- a/wheathill/lab/scale/seen.py
+++ b/wheathill/lab/scale/seen.py
@@ -3,13 +3,15 @@
 import os
 
 
-def processor_s(pid):
-    """Processor time of all its threads, seconds, to the nanosecond (/proc/PID/task/*/schedstat)."""
-    total = 0
+def scheduled_s(pid):
+    """(processor time, time that it could have run and waited for a core) of all its threads, seconds, to the
+    nanosecond (/proc/PID/task/*/schedstat)."""
+    ran = waited = 0
     for task in os.listdir(f"/proc/{pid}/task"):
         with open(f"/proc/{pid}/task/{task}/schedstat") as stat:
-            total += int(stat.read().split()[0])
-    return total / 1e9
+            fields = stat.read().split()
+        ran, waited = ran + int(fields[0]), waited + int(fields[1])
+    return ran / 1e9, waited / 1e9
 
 
 def memory_kb(pid):
--- a/wheathill/lab/scale/table.py
+++ b/wheathill/lab/scale/table.py
@@ -33,8 +33,8 @@
 
 def host(place):
     return {"host": f"server-{place:05}.zone-{place % 15}",
-            "dial": f"10.{place >> 16}.{place >> 8 & 255}.{place & 255}:7000", "site": f"zone-{place % 15}", "class": "m", "block": 1, "health": "ready", "share": 1.0,
-            "born_ms": 1_700_000_000_000}
+            "dial": f"10.{place >> 16}.{place >> 8 & 255}.{place & 255}:7000", "site": f"zone-{place % 15}", "class": "m",
+            "block": 1, "health": "ready", "share": 1.0, "born_ms": 1_700_000_000_000}
 
 
 def proxy():
