--- a/wheathill/lab/scale/rig.py
+++ b/wheathill/lab/scale/rig.py
@@ -124,7 +124,8 @@
             "limits": {"sockets": files, "memory_mb": 2048}, "known": {"seq": 1, "whole": True, "hosts": hosts},
             "settings": {"listeners": [{"name": "any", "repeat": "retryable", "dialTimeoutS": 10.0}],
                          "limits": {"maxDials": 3, "retryAfter": True, "maxRetryAfterS": 1.0},
-                         "familyInfo": {"mode": "proxy", "groups": True}, "dcs": ["x"], "tenants": [],
+                         # Late answers here are the machine's: no server is held full, and no client moved, by them.
+                         "familyInfo": {"mode": "proxy", "groups": True, "messageAimS": [60.0]}, "dcs": ["x"], "tenants": [],
                          "obligations": {"drainGraceS": 0.5}}}
 
 
