--- a/tests/test_scale_data.py
+++ b/tests/test_scale_data.py
@@ -144,3 +144,13 @@
     # The last point is not among those that it is predicted from.
     off = fit.predicted([(1, 1.0), (2, 2.0), (3, 3.0), (4, 8.0)])
     assert abs(off["predicted"] - 4.0) < 1e-9 and abs(off["error"] + 0.5) < 1e-9
+
+
+def test_figures_with_many_open(tmp_path):
+    path = tmp_path / "figures.json"
+    done = subprocess.run(tool("walks", "--connections", "100,200", "--json", str(path)), capture_output=True, text=True,
+                          cwd=ROOT)
+    assert done.returncode == 0, done.stderr
+    found = json.loads(path.read_text())
+    assert [one["connections"] for one in found["by_connections"]] == [100, 200]
+    assert all(one["sweep_ms"] > 0.0 and one["a_handshake_ids_ms"] > 0.0 for one in found["by_connections"])
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -1,5 +1,5 @@
 """The commands of `wheathill lab scale`."""
 
-from wheathill.lab.scale.data_commands import data, table
+from wheathill.lab.scale.data_commands import data, table, walks
 
-COMMANDS = {"data": data, "table": table}
+COMMANDS = {"data": data, "table": table, "walks": walks}
--- a/wheathill/lab/scale/data.py
+++ b/wheathill/lab/scale/data.py
@@ -137,20 +137,22 @@
         proxy = rig.proxy(module="wheathill.lab.scale.parts", SCALE_PARTS=path)
         rig.come(proxy, size, ARRIVALS)
         time.sleep(min(SETTLED, seconds))
-        told(proxy, path)
+        coming = told(proxy, path)
         time.sleep(max(A_FEW_TICKS, seconds))
         found = told(proxy, path)
     parts = {name: {"core_share": part["s"] / found["seconds"], "a_second": part["calls"] / found["seconds"],
                     "ns_a_connection": 1e9 * part["s"] / max(1, part["calls"]) / size}
              for name, part in sorted(found["parts"].items(), key=lambda item: -item[1]["s"])}
     whole = found["processor_s"] / found["seconds"]
+    full = coming["full_collections_ms"]
     parts["all else"] = {"core_share": whole - sum(part["core_share"] for part in parts.values())}
     say(f"at rest with {size} connections, {100 * whole:.2f}% of a core:")
     for name, part in parts.items():
         say(f"    {name:28} {100 * part['core_share']:6.3f}%" + (
             f"  {part['a_second']:5.1f} a second, {part['ns_a_connection']:5.1f} ns a connection"
             if "a_second" in part else ""))
-    return {"connections": size, "core_share": whole, "parts": parts}
+    say(f"    while they came {len(full)} full collections of garbage, the longest {max(full, default=0.0):.0f} ms")
+    return {"connections": size, "core_share": whole, "parts": parts, "full_collections_ms": full}
 
 
 def told(proxy, path):
--- a/wheathill/lab/scale/data_commands.py
+++ b/wheathill/lab/scale/data_commands.py
@@ -1,4 +1,4 @@
-"""`wheathill lab scale data` and `table`."""
+"""`wheathill lab scale data`, `table` and `walks`."""
 
 import json
 import sys
@@ -45,3 +45,12 @@
     """The slot table, lists and probes by servers: no sockets, the very code that a proxy runs."""
     from wheathill.lab.scale import table as slots
     keep(slots.measure(sorted(int(count) for count in servers.split(",")), seed=seed, say=click.echo), json_path)
+
+
+@click.command()
+@click.option("--connections", default="2000,8000,9000,12000,25000,50000", show_default=True, help="with commas between")
+@click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
+def walks(connections, json_path):
+    """What each client and the clock cost with many connections open: no sockets, a proxy's own lines."""
+    from wheathill.lab.scale import walks as here
+    keep(here.measure(sorted(int(count) for count in connections.split(",")), say=click.echo), json_path)
--- a/wheathill/lab/scale/parts.py
+++ b/wheathill/lab/scale/parts.py
@@ -25,6 +25,7 @@
     def __init__(self):
         self.spent, self.calls = {}, {}
         self.open = []          # what the parts within each took
+        self.full = []          # ms of each full collection
         self.since = time.process_time(), time.monotonic()
 
     def time(self, name, call, *args):
@@ -46,23 +47,27 @@
         name, call = f"{kind.__name__}.{method}", getattr(kind, method)
         setattr(kind, method, lambda *args: self.time(name, call, *args))
 
-    def collecting(self, phase, _):
+    def collecting(self, phase, told):
+        """Full collections hold the loop for as long as they take, which grows with all that is open."""
         if phase == "start":
             self.open.append(0.0)
             self.collect_begun = time.thread_time()
-        elif self.open:
-            self.took("garbage collection", time.thread_time() - self.collect_begun)
+            return
+        spent = time.thread_time() - self.collect_begun
+        self.took("garbage collection", spent)
+        if told["generation"] == 2:
+            self.full.append(1000 * spent)
 
     def tell(self, *_):
         now = time.process_time(), time.monotonic()
         whole, seconds = now[0] - self.since[0], now[1] - self.since[1]
-        found = {"seconds": seconds, "processor_s": whole, "parts": {
+        found = {"seconds": seconds, "processor_s": whole, "full_collections_ms": self.full, "parts": {
             name: {"s": spent, "calls": self.calls[name]} for name, spent in self.spent.items()}}
         path = os.environ["SCALE_PARTS"]
         with open(path + ".new", "w") as out:
             json.dump(found, out)
         os.rename(path + ".new", path)
-        self.spent, self.calls, self.since = {}, {}, now
+        self.spent, self.calls, self.full, self.since = {}, {}, [], now
 
 
 def run():
