--- a/wheathill/lab/scale/table.py
+++ b/wheathill/lab/scale/table.py
@@ -90,6 +90,8 @@
     found.update(lists(count, text))
     found.update(slots(count, seed))
     found["probes"] = probes(count, seed)
+    # Who comes back after a break pays for none; its servers are asked first all the same.
+    found["probes_returning"] = probes(count, seed, returning=True)
     say(f"{count:6} servers: a list of {found['list_bytes'] / 1000:.0f} KB in force after {found['list_ms']:.0f} ms, the same "
         f"again {found['list_again_ms']:.0f}, one change {found['change_ms']:.1f} ms and {found['change_bytes']} bytes; "
         f"{found['list_bytes_held_a_server'] / 1000:.1f} KB each; {found['with_slot']} have a slot, the most {found['most_slots']}; "
@@ -152,11 +154,15 @@
 
 
 class Quiet:
-    """Actions that count probes and do nothing."""
+    """Actions that note probes and dials, and do nothing."""
 
     def __init__(self):
         self.probed = []        # not answered yet
         self.sent = 0
+        self.dialled = []       # not up yet
+
+    def dial(self, sess, server, time_out):
+        self.dialled.append(sess)
 
     def probe(self, server):
         self.probed.append(server)
@@ -165,7 +171,7 @@
     def nothing(self, *_):
         pass
 
-    dial = refuse = tear_down = move = follow_list = alarm = log = nothing
+    refuse = tear_down = move = follow_list = alarm = log = nothing
 
 
 def balancer(count, seed):
@@ -190,7 +196,7 @@
     return found
 
 
-def probes(count, seed):
+def probes(count, seed, returning=False):
     """Probes a second at so many first sessions a second, each answered at once; 10 s are counted after 10 s."""
     found = {}
     for rate in RATES:
@@ -199,7 +205,7 @@
         for second in range(1, 21):
             while came < rate * second:
                 now = 1000.0 * came / rate
-                made.on_session(now, Session(listener, f"k{came}", now + 2000.0))
+                made.on_session(now, Session(listener, f"k{came}", now + 2000.0, returning=returning))
                 answer(made, actions, now)
                 came += 1
             made.tick(1000.0 * second)
@@ -213,10 +219,13 @@
 
 
 def answer(made, actions, now):
-    """All that were asked, with a load that leaves room."""
+    """All that were asked, with a load that leaves room; all that were dialled come up, and end."""
     while actions.probed:
-        server = actions.probed.pop()
-        made.on_probed(now, server, Outcome.COMPLETED, [0.3])
+        made.on_probed(now, actions.probed.pop(), Outcome.COMPLETED, [0.3])
+    while actions.dialled:
+        sess = actions.dialled.pop()
+        made.on_accepted(now, sess)
+        made.on_outcome(now, sess, Outcome.COMPLETED, True)
 
 
 SLOPES = ("list_bytes", "list_ms", "list_again_ms", "change_ms", "weigh_ms", "join_ms", "leave_ms", "zone_leaves_ms",
@@ -237,5 +246,6 @@
                 f"; largest predicted {largest['predicted']:.4g}, measured {largest['measured']:.4g}" if largest else ""))
     for one in by_servers:
         say(f"    {one['servers']:6} servers: probes a second by sessions a second " + ", ".join(
-            f"{rate}: {sent:g}" for rate, sent in one["probes"].items()))
+            f"{rate}: {sent:g}" for rate, sent in one["probes"].items()) + "; where all of them return " + ", ".join(
+            f"{rate}: {sent:g}" for rate, sent in one["probes_returning"].items()))
     return found
