--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -151,12 +151,14 @@
         if head.id in self.ids and not sess.mid_flow and "at" not in head.values:
             raise Malformed("the id of another session")
         self.ids[head.id] = sess
-        # Those that are open stay, and may be more than the limit: so many looks, and no more.
-        for _ in range(2 * (len(self.ids) - self.limits.ids)):
-            oldest = next(iter(self.ids))
-            held = self.ids.pop(oldest)
+        # Those that are open stay, and may be far more than the limit. Two looks for each that comes keep those that
+        # are over fewer than the open ones and the limit; as many as there are above it took seconds for each client.
+        for _ in range(2 if len(self.ids) > self.limits.ids else 0):
+            oldest, held = next(iter(self.ids.items()))
             if held is sess or held in self.clients:
-                self.ids[oldest] = held
+                self.ids.move_to_end(oldest)
+            else:
+                del self.ids[oldest]
 
     def late(self, client):
         """The decisions have missed a deadline, which only a fault can do, or this process stood still: the client
@@ -224,6 +226,7 @@
 
     def over(self, sess, how):
         client = self.clients.pop(sess)
+        self.asking.pop(client, None)
         client.sess = None
         self.ids[client.head.id] = None
         self.figures.count(how)
@@ -239,7 +242,13 @@
     def heard(self, server):
         self.balancer.on_heard(self.now(), server)
 
+    def asks(self, client):
+        """A line of it went to its server."""
+        if client.sess is not None:
+            self.asking[client] = None
+
     def message_took(self, client, spent):
+        self.asking.pop(client, None)
         if client.sess is not None and spent > client.sess.listener.message_target:
             self.figures.count("late messages")
             self.balancer.on_notice(self.now(), client.sess, message_ms=spent)
@@ -258,7 +267,8 @@
         self.worst_delay = max(self.worst_delay, now - self.swept)
         self.stood_still(now)
         self.swept = now + self.limits.sweep
-        for client in list(self.clients.values()):
+        # These alone, and not all that are open: looking at each of them took a part of a core that grew with them.
+        for client in list(self.asking):
             # Who reads nothing itself can't be brought an answer. One may end others of the same server.
             if client.sess is not None and client.asked is not None and not client.wire.full \
                     and now - client.asked >= self.limits.unanswered:
@@ -318,6 +328,8 @@
         client.dial = dial = Dialled(client, self.servers[server], self, self.limits, self.clock)
         client.head, client.listener, client.sess = head, sess.listener, sess
         client.came, client.asked = came, asked
+        if asked is not None:
+            self.asking[client] = None
         client.up = dial.up = dial.sent = True
         dial.rest = rest
         self.clients[sess] = client
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -72,6 +72,7 @@
         # Half a line asks for nothing yet.
         if self.asked is None and b"\n" in data:
             self.asked = self.clock.now()
+            self.door.asks(self)
         self.dial.wire.send(data)
 
     @property
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import OrderedDict
 from dataclasses import replace
 
 from wheathill.model import ListKind, Phase
@@ -34,8 +35,10 @@
         self.names = {}         # of all that were ever listed, the longest unlisted first
         self.addresses = {}     # Server -> (host, port)
         self.clients = {}       # Session -> Client, in order of arrival
+        self.asking = {}        # clients with a line that waits for an answer, the longest waiting first
         self.silent = {}        # clients that have sent no line yet, oldest first
-        self.ids = {}           # of sessions taken, oldest first -> whether it is open
+        # Of sessions taken, oldest first -> whether it is open. Ordered: a dict's oldest is found ever more slowly.
+        self.ids = OrderedDict()
         self.links = {}         # Server -> ProbeLink, the longest unused first
         self.seen = 0           # version of the list
         self.watch = None
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -60,6 +60,7 @@
         self.current, self.new = [None] * size, [None] * size
         self.sessions = [{} for _ in range(size)]
         self.holders = {}       # group -> {server: how many of it are open there through this proxy}
+        self.serving = {}       # servers that hold sessions, as of the last tick: far fewer than these to walk over
         self.opened = {}        # slot -> when its entry in the new table was written
         self.moved, self.exceptions = {}, {}    # key -> (server, when), oldest first
 
@@ -83,7 +84,7 @@
         return (self.exceptions.get(key) or self.moved.get(key) or (self.current[slot],))[0]
 
     def accepted(self, now, sess):
-        self.sessions[sess.slot][sess] = None
+        self.sessions[sess.slot][sess] = self.serving[sess.server] = None
         if sess.group is not None:
             self.holders.setdefault(sess.group, Counter())[sess.server] += 1
         if sess.server not in (self.current[sess.slot], self.new[sess.slot]):
@@ -1087,10 +1088,10 @@
         if shifted:
             self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
         self.relieve(now)
-        for server in dict.fromkeys(sess.server for held in self.table.sessions for sess in held):
-            if server.phase is Phase.DRAINING:
-                # In three ticks: servers were seen to end 3.2 s after this proxy was told.
-                self.send_away(list(server.sessions), max(1, 3 - int((now - server.told) / self.TICK)))
+        self.table.serving = {server: None for server in self.table.serving if server.sessions}
+        for server in [server for server in self.table.serving if server.phase is Phase.DRAINING]:
+            # In three ticks: servers were seen to end 3.2 s after this proxy was told.
+            self.send_away(list(server.sessions), max(1, 3 - int((now - server.told) / self.TICK)))
         due = self.probes.due(now, self.roster.servers, self.levels.figures(now, self.roster.servers))
         self.next_probes = deque(due)
         for place in range(len(due)):
