--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -10,6 +10,8 @@
 import pytest
 from drive import Drive
 
+from wheathill.model import Server
+
 WINDOW, COLD_FOR, SHARE, MULTIPLE = 1000.0, 20_000.0, 0.12, 2.0
 WARM = ("a", "b", "c")
 
@@ -126,3 +128,17 @@
     found = [played(count, seed, **CASES[case]) for seed in range(seeds)]
     assert max(over for over, _ in found) <= 0.0
     assert sum(sent for _, sent in found) >= seeds      # nor does it stay empty
+
+
+@pytest.mark.parametrize("count", [20, 30, 200])
+def test_turns_are_spread_evenly_over_the_processes(count):
+    """As many have a turn as the part says, to two or three, at any moment and for any server."""
+    rng = random.Random(1)
+    budgets = [Drive(proxies=1).balancer.cold for _ in range(count)]
+    for number, budget in enumerate(budgets):
+        budget.number, budget.proxies = number, count
+    for _ in range(300):
+        server, part, now = Server("s", started=0.0), rng.uniform(0.0, 0.5), rng.uniform(0.0, COLD_FOR)
+        server.draws = [rng.getrandbits(32)]
+        having = sum(budget.turn(now, server) < part for budget in budgets)
+        assert abs(having - count * part) < 3.0
