Lists: none is asked beside one whose answer is coming in

It now leaves out the call where bytes came within list_again; one that stops half-way has another beside it as before.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -182,6 +182,23 @@
     assert agent.told("b") < TOLD - 500
 
 
+def test_a_long_list_is_not_asked_for_twice_while_it_comes(turns):
+    """A piece each 200 ms, for 2 s; once the pieces stop another is asked."""
+    watch, _ = turns.watch()
+    turns.head(watch)
+    text = json.dumps(turns.list("a", "b"))
+    watch.say(f"{len(text):x}")
+    turns.turn(2)
+    while turns.discovery_waits():      # asked before this one began to answer
+        turns.discovery.accept()[0].close()
+    for place in range(10):
+        watch.say(text[10 * place:10 * place + 10], end="")
+        turns.turn(40)
+        assert not turns.discovery_waits()
+    turns.turn(60)
+    assert turns.discovery_waits()
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_told_where_calls_fail_at_random(turns, seed):
     """Three in four of them, for as long as the change isn't in force; watches that were open fail as well."""
--- a/wheathill/net/discovery.py
+++ b/wheathill/net/discovery.py
@@ -1,5 +1,6 @@
 """Discovery's watch: HTTP/1.1 with an answer, in chunks, of a stated length or to its end, that holds JSON objects."""
 
+import math
 import re
 
 import orjson
@@ -78,6 +79,7 @@
         self.left = None            # bytes of the present chunk, or of the answer where it says how many
         self.objects = Objects(limits.list_line)
         self.untold = 0             # bytes since it last told something
+        self.came = -math.inf       # when bytes last did
         self.answered = False
         self.left_for_good = False
 
@@ -93,6 +95,7 @@
         self.wire.send(self.request)
 
     def received(self, data):
+        self.came = self.clock.now()
         self.lines.feed(data)
         try:
             while self.read():
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -94,7 +94,10 @@
         if watch is self.watch and not watch.answered:
             if self.beside:
                 self.beside.leave()
-            self.beside = self.ask_list()
+                self.beside = None
+            # Not beside one whose answer is on its way: a list of thousands may take that long, and more so asked twice.
+            if self.now() - watch.came >= self.limits.list_again:
+                self.beside = self.ask_list()
             self.next_watch = self.clock.after(self.limits.list_again, self.ask_beside, watch)
 
     def watch_answered(self, watch):
