--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -342,6 +342,25 @@
     assert fleet.until(fleet.all_agree, 20) is not None and fleet.over == []
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_process_that_starts_in_place_of_another_is_known_to_its_zone_soon(seed):
+    """Before its death was noticed: its incarnation is that of the one before, until somebody tells it of that one."""
+    fleet = Fleet({"a": ("r", 40), "b": ("s", 3)}, seed, loss=0.02)
+    fleet.start_all()
+    fleet.run(25)
+    for wait in (100.0, 1000.0, 3000.0):
+        name = fleet.random.choice(fleet.names["a"])
+        fleet.kill(name)
+        fleet.clock.after(wait, fleet.start, name)
+        fleet.run(1)
+    fleet.run(3)
+
+    def alike():
+        return len({fleet.peers[name].membership.digest() for name in fleet.names["a"]}) == 1
+    took = fleet.until(alike, 60)
+    assert took is not None and took < 12, took
+
+
 def test_two_sets_of_delegates_while_a_zone_is_parted_in_itself():
     fleet = small(4)
     fleet.run(4)
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -445,6 +445,9 @@
         if known is None or known is self.me or known.birth == birth or known.address != address \
                 or (name, birth) in self.removed:
             return
+        if self.differences:
+            # Who hasn't met it holds to the one before until this one is ahead; no whole state tells it of that one.
+            self.actions.send(address, [STATE, [[*known.words(), self.me.name]]])
         self.forbid(known)
         self.set_alive(now, known, address, known.incarnation, birth, self.me.name)
 
