--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -130,9 +130,10 @@
 
 def test_hollow_proxies_say_what_real_ones_say():
     """In a few seconds; that they cost the same within 15% is measured by `lab scale honest`."""
-    found = honest.compare(6, 1, 4.0, 6.0, 1, lambda text: None)
+    # Long enough for each to exchange whole states once: in 6 s some did and some did not, 52% apart once.
+    found = honest.compare(6, 1, 4.0, 13.0, 1, lambda text: None)
     assert found["real"]["agreed"] == found["hollow"]["agreed"] == 6
-    assert abs(found["apart"]["messages_per_s"]) < 0.25 and abs(found["apart"]["bytes_per_s"]) < 0.5
+    assert abs(found["apart"]["messages_per_s"]) < 0.25 and abs(found["apart"]["bytes_per_s"]) < 0.4
 
 
 # Judges
