--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -130,6 +130,7 @@
     reported = {"inline": True, "on_probe": may_probe}.get(report.text("how", "off"), False)
     return {
         "zone": settings.count("zone", 0), "proxies": max(1, settings.count("balancers", 1)),
+        "number": settings.count("me", 0) if "me" in settings.values else None,
         "report_names": [REPORT_NAMES.get(name, name) for name in report.texts("names")] if reported else [],
         "may_probe": may_probe, "must_ask": settings.text("membershipMode", "automatic") == "subscribe",
         "ask_every": duties.ms("askEveryS", 10_000.0),
@@ -178,7 +179,7 @@
     standing: float = 40_000.0          # for connections from before the start to come up again
     list_line: int = 4 * 2 ** 20        # one line of a watch
     list_wait: float = 1000.0           # for discovery's first answer, before the known list has to do
-    list_silence: float = 3500.0        # a watch that says nothing for so long is opened again
+    list_silence: float = 2700.0        # a watch that says nothing for so long is opened again: two in a row within 6 s
     list_retry: float = 250.0           # between two that were asked, at the least
     list_again: float = 250.0           # until another is asked beside one that has not answered
     unanswered: float = 500.0           # a line without an answer is reported from then on
@@ -231,7 +232,7 @@
     moves_at_stop: bool
     report_fields: list
     balancer: dict
-    told: dict                          # the configuration as it was read
+    told: dict                          # the configuration as it was read, without `known`
     peers: object = None                # a `config.peers.Told`; none: it knows no other instance
 
     @property
@@ -332,4 +333,5 @@
         tenants=[item.text("name", "") for item in settings.parts("tenants")],
         zones=settings.texts("dcs"), groups=settings.part("familyInfo").flag("groups"),
         moves_at_stop=not balancer["passes_through"],
-        report_fields=settings.part("report").texts("names"), balancer=balancer, told=top.values)
+        report_fields=settings.part("report").texts("names"), balancer=balancer,
+        told={key: value for key, value in top.values.items() if key != "known"})
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -9,6 +9,10 @@
 from wheathill.net.server import Dialled, ProbeLink
 from wheathill.policy import may_redial, may_refuse
 
+# Of the spare descriptors, in eighths: so far newcomers are taken in, those taken in are dialled for, and servers are
+# asked. The rest is for discovery, the operators' door and files.
+NEWCOMERS, DIALS, PROBES = 3, 4, 5
+
 
 def busy(come_back_after):
     return b"BUSY %d" % come_back_after if come_back_after >= 1 else b"BUSY"
@@ -31,17 +35,39 @@
         that has come and was not read yet is asked for."""
         if self.fits():
             return True
-        late = self.now() - self.limits.ask_within
-        for client in [client for client, since in islice(self.silent.items(), self.limits.accepts)
-                       if since < late and not client.wire.unread]:
-            del self.silent[client]
-            client.timer.cancel()
-            client.wire.abort()
+        for client in self.asking_nothing(self.limits.accepts):
+            self.shut(client)
         return self.fits()
 
     def fits(self):
-        return len(self.silent) < self.limits.sockets // 6 and \
-            self.carrier.free >= -self.limits.spare_sockets / 2
+        return len(self.silent) < self.limits.sockets // 6 and self.spare(NEWCOMERS)
+
+    def spare(self, eighths):
+        """Whether so many eighths of the spare descriptors are not all taken. Each use stops sooner than the next
+        one: who may be most may take least."""
+        return self.carrier.free > -self.limits.spare_sockets * eighths / 8
+
+    def asking_nothing(self, count):
+        """Of so many that have sent no line, the oldest."""
+        late = self.now() - self.limits.ask_within
+        return [client for client, since in islice(self.silent.items(), count)
+                if since < late and not client.wire.unread]
+
+    def shut(self, client):
+        del self.silent[client]
+        client.timer.cancel()
+        client.wire.abort()
+
+    def make_room(self):
+        """Whether a session may be dialled for. What only rests makes room for it: links on which no probe is out,
+        then clients that ask for nothing."""
+        if self.carrier.free <= 0:
+            for link in [link for link in self.links.values() if not link.asked][:1 - self.carrier.free]:
+                link.end(None)
+        if self.carrier.free <= 0:
+            for client in self.asking_nothing(1 - self.carrier.free):
+                self.shut(client)
+        return self.carrier.free > 0
 
     def opened(self, client, came=None):
         """`came`: when its line did, where that was a while ago."""
@@ -68,7 +94,7 @@
                        load=head.number("h"), mid_flow=head.flag("mid"),
                        returning=head.flag("again"), repeat=head.flag("r"))
         self.note_id(head, sess)
-        if self.carrier.free <= 0:
+        if not self.make_room():
             self.figures.count("no sockets")
             self.answer(client, self.come_back(listener))
         elif "at" in head.values:
@@ -125,12 +151,14 @@
         if head.id in self.ids and not sess.mid_flow and "at" not in head.values:
             raise Malformed("the id of another session")
         self.ids[head.id] = sess
-        # Those that are open stay, and may be more than the limit: so many looks, and no more.
-        for _ in range(2 * (len(self.ids) - self.limits.ids)):
-            oldest = next(iter(self.ids))
-            held = self.ids.pop(oldest)
+        # Those that are open stay, and may be far more than the limit. Two looks for each that comes keep those that
+        # are over fewer than the open ones and the limit; as many as there are above it took seconds for each client.
+        for _ in range(2 if len(self.ids) > self.limits.ids else 0):
+            oldest, held = next(iter(self.ids.items()))
             if held is sess or held in self.clients:
-                self.ids[oldest] = held
+                self.ids.move_to_end(oldest)
+            else:
+                del self.ids[oldest]
 
     def late(self, client):
         """The decisions have missed a deadline, which only a fault can do, or this process stood still: the client
@@ -198,6 +226,7 @@
 
     def over(self, sess, how):
         client = self.clients.pop(sess)
+        self.asking.pop(client, None)
         client.sess = None
         self.ids[client.head.id] = None
         self.figures.count(how)
@@ -213,7 +242,13 @@
     def heard(self, server):
         self.balancer.on_heard(self.now(), server)
 
+    def asks(self, client):
+        """A line of it went to its server."""
+        if client.sess is not None:
+            self.asking[client] = None
+
     def message_took(self, client, spent):
+        self.asking.pop(client, None)
         if client.sess is not None and spent > client.sess.listener.message_target:
             self.figures.count("late messages")
             self.balancer.on_notice(self.now(), client.sess, message_ms=spent)
@@ -232,7 +267,8 @@
         self.worst_delay = max(self.worst_delay, now - self.swept)
         self.stood_still(now)
         self.swept = now + self.limits.sweep
-        for client in list(self.clients.values()):
+        # These alone, and not all that are open: looking at each of them took a part of a core that grew with them.
+        for client in list(self.asking):
             # Who reads nothing itself can't be brought an answer. One may end others of the same server.
             if client.sess is not None and client.asked is not None and not client.wire.full \
                     and now - client.asked >= self.limits.unanswered:
@@ -292,6 +328,8 @@
         client.dial = dial = Dialled(client, self.servers[server], self, self.limits, self.clock)
         client.head, client.listener, client.sess = head, sess.listener, sess
         client.came, client.asked = came, asked
+        if asked is not None:
+            self.asking[client] = None
         client.up = dial.up = dial.sent = True
         dial.rest = rest
         self.clients[sess] = client
@@ -384,7 +422,7 @@
         client = self.clients[sess]
         if len(sess.dials) > 1:
             self.figures.count("further dials")
-        if self.carrier.free <= -self.limits.spare_sockets / 2:
+        if not self.spare(DIALS):
             self.clock.soon(self.no_socket, sess, sess.dials[-1])
         else:
             self.connect(client, server, time_out)
@@ -431,12 +469,18 @@
         self.figures.count("probes")
         link = self.links.pop(server, None)
         if link is None:
-            if len(self.links) >= self.limits.probe_links:
+            if len(self.links) >= self.limits.probe_links or self.carrier.free <= 0:
                 self.close_link()
+            if not self.spare(PROBES):
+                return self.clock.soon(self.no_probe, server)
             link = self.new_link(server)
         self.links[server] = link
         link.ask(self.now() + self.limits.probe)
 
+    def no_probe(self, server):
+        """Held against nobody: no descriptor is left to ask."""
+        self.balancer.on_probed(self.now(), server, Outcome.FULL, None)
+
     def new_link(self, server):
         link = ProbeLink(server, self, self.limits, self.clock)
         link.wire = self.carrier.connect(link, self.addresses[server])
