--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -190,12 +190,13 @@
             planned.append((first + 0.04 * each, self.kill, [
                 number for number in others if self.layout.zone(number) == self.zone]))
         if self.region is not None:
-            planned += [(first + 0.06 * each, self.set_cut, True), (first + 0.21 * each, self.set_cut, False)]
+            # Long enough in a minute for both sides to hold each other for dead.
+            planned += [(first + 0.03 * each, self.set_cut, True), (first + 0.28 * each, self.set_cut, False)]
         for _ in range(plan.churn):
             planned.append((first + self.rng.uniform(0.0, 0.25) * each, self.restart, self.rng.choice(others)))
         for change in range(plan.changes):
             # At first, amid what goes wrong, and after it.
-            when = first + 0.24 * each * change / max(1, plan.changes - 1)
+            when = first + 0.30 * each * change / max(1, plan.changes - 1)
             planned.append((min(when, max(first, each - WITHIN - 1.0)), self.change, (spared, change)))
         while planned:
             planned.sort(key=lambda item: item[0])
