Frames: a counter for each receiver, so that what waits in a stream is not taken for played again

Cause: Seal.counter was one for all receivers and a window is 1,024 wide: a seed that answers hundreds passes it while a frame waits in a stream. The test fails with one counter.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -54,6 +54,20 @@
     assert window.fresh(5000) and not window.fresh(5000 - Window.WIDTH)
 
 
+def test_a_frame_that_waits_while_others_are_told_is_good():
+    """As in a stream, while a seed answers hundreds that start; forgotten receivers' counters never begin again."""
+    one, other = pair()
+    waits = one.close(2, ["early"])
+    for birth in range(10, 10 + Window.WIDTH + 10):
+        one.close(birth, ["x"])
+    assert other.open(one.close(2, ["late"])) == ("a", 1, ["late"])
+    assert other.open(waits) == ("a", 1, ["early"])
+    for birth in range(10, 10 + Seal.SENDERS + 10):
+        one.close(birth + 100_000, ["x"])
+    assert 2 not in one.counters
+    assert other.open(one.close(2, ["again"])) == ("a", 1, ["again"])
+
+
 def settled(facts, now, names):
     for place, name in enumerate(names):
         facts.member(now, name, place + 10, "alive", False)
--- a/wheathill/peers/frames.py
+++ b/wheathill/peers/frames.py
@@ -63,13 +63,17 @@
         self.cluster, self.key, self.name, self.birth = cluster, key, name, birth
         self.encode = msgspec.msgpack.Encoder().encode
         self.decode = msgspec.msgpack.Decoder(list).decode
-        self.counter = 0
+        # Receiver's birth -> counter of the last frame for it, the longest unused first; `used`: of those forgotten. One for
+        # all passed the window of a receiver whose frames waited in a stream, while a seed answered hundreds.
+        self.counters, self.used = OrderedDict(), 0
         self.windows = OrderedDict()    # (name, birth) -> Window, the longest silent first
 
     def close(self, to_birth, words):
         """A frame as bytes; `to_birth` 0 where it is not known yet."""
-        self.counter += 1
-        body = self.encode([self.cluster, self.name, self.birth, to_birth, self.counter, words])
+        counter = self.counters[to_birth] = self.counters.pop(to_birth, self.used) + 1
+        if len(self.counters) > self.SENDERS:
+            self.used = max(self.used, self.counters.popitem(last=False)[1])
+        body = self.encode([self.cluster, self.name, self.birth, to_birth, counter, words])
         return HEAD.pack(MARK, self.VERSION, len(body), crc32(body), digest(self.key, body)) + body
 
     def length(self, data, most):
