--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -337,6 +337,7 @@
     """Follows the list of servers; tells who joined and who left."""
 
     LONGEST_WAIT = 2750.0       # two calls within the 6 s after which a change counts as told
+
     def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform, gone_binds):
         self.gone_binds, self.spread, self.actions, self.sized = gone_binds, spread, actions, sized
         self.must_ask, self.drain_grace, self.uniform = must_ask, drain_grace, uniform
