One fit, one stand-in, one summary reader: what the change had written twice is folded

Two modules of fits, two stand-ins for a proxy without sessions, two writers of JSON, two printers of a slope, drains held in two classes, a zone looked up in three places: one each. Words of a summary are read by name; records of many buckets are found in one look, where each bucket went over all. Whatever stands between a wire and its machine says itself whether a connection is held back, in place of a default in the driver. Assertions stay; two tests follow the renamed calls.

--- a/tests/test_scale_data.py
+++ b/tests/test_scale_data.py
@@ -11,8 +11,7 @@
 
 import pytest
 
-from wheathill.lab.scale import line as fit
-from wheathill.lab.scale import rig
+from wheathill.lab.scale import fit, rig
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -138,9 +137,9 @@
     sizes = (50, 100, 200, 400)
     for form, call in (("constant", lambda _: 3.0), ("linear", lambda x: 2.0 + 0.5 * x), ("square", lambda x: 1.0 + x * x)):
         points = [(size, call(size)) for size in sizes]
-        line = fit.fitted(points)
-        assert line["form"] == form and line["residual"] < 1e-9
-        assert abs(fit.at(line, 1000) - call(1000)) < 1e-6 * call(1000)
+        line = fit.simplest(points)
+        assert line.form == form and line.residual < 1e-9
+        assert abs(line.at(1000) - call(1000)) < 1e-6 * call(1000)
         assert abs(fit.predicted(points)["error"]) < 1e-9
     # The last point is not among those that it is predicted from.
     off = fit.predicted([(1, 1.0), (2, 2.0), (3, 3.0), (4, 8.0)])
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -54,7 +54,7 @@
     one.merge(WALL, [["s/mine", WALL, 1, "", [True, WALL]], ["s/g7", WALL, 2, "", [False, WALL]]])
     other.merge(WALL, [["s/theirs", WALL, 1, "", [True, WALL]]])
     buckets = other.differing(one.sums)
-    said = other.within(buckets)
+    said = [record for some in other.within(buckets).values() for record in some]
     back = one.ahead(buckets, said)
     assert [record[0] for record in back] == ["s/g7", "s/mine"] and len(said) < 60
     assert [record[0] for record in one.merge(WALL, said)] == ["s/theirs"]
@@ -162,7 +162,7 @@
             if each.write(second * 1000.0, [AGREED, at_work, *SUMMARY[2:]]):
                 written.append(second)
     assert len(written) < 40 and sum(second >= 300 for second in written) < 12
-    assert one.write(601_000.0, held.summary("e")[1]) is None       # nothing new
+    assert one.write(601_000.0, held.summary("e")[4]) is None       # nothing new
 
 
 def test_zones_are_out_of_reach_by_silence_and_stay_so_over_a_change_of_delegates():
--- a/wheathill/config/peers.py
+++ b/wheathill/config/peers.py
@@ -44,6 +44,9 @@
     version: int
     zones: tuple
 
+    def zone(self, name):
+        return next(zone for zone in self.zones if zone.name == name)
+
 
 def layout_of(peers):
     """Parts that are not told go by the number of proxies."""
@@ -114,7 +117,7 @@
     """Raises Misconfigured where the key can't be used."""
     peers = file.peers
     layout = layout_of(peers)
-    seeds = peers.seeds or [seed for zone in peers.zones if zone.name == peers.zone for seed in zone.seeds]
+    seeds = peers.seeds or (layout.zone(peers.zone).seeds if layout else ())
     return Told(name=peers.name or file.name, cluster=peers.cluster, listen=address(peers.listen, "peers.listen"),
                 advertise=peers.advertise or peers.listen, seeds=tuple(seeds), key=read_key(peers.key_file),
                 roster=tuple(peers.roster), control=peers.control, period=peers.period_ms,
--- a/wheathill/lab/cores/fleets.py
+++ b/wheathill/lab/cores/fleets.py
@@ -3,10 +3,10 @@
 """
 
 import random
-from statistics import quantiles
 
 from wheathill.config import Limits
 from wheathill.config.peers import Layout, Told, Zone
+from wheathill.lab.cast.sessionless import Sessionless
 from wheathill.lab.worlds.host import raise_fault
 from wheathill.lab.worlds.network import VirtualCarrier, VirtualHost
 from wheathill.lab.worlds.virtual import PEERS_PORT, VirtualWorld
@@ -18,36 +18,12 @@
 LOOK = 100.0            # ms between two looks at the shares
 
 
-class Levels:
-    def __init__(self):
-        self.borne = 4.0
-
-
-class ColdBudget:
-    rights = None
-
-
-class Balancer:
-    """Of a proxy without sessions: takes what its peers say."""
-
-    def __init__(self):
-        self.levels, self.cold = Levels(), ColdBudget()
-        self.shares = []
-
-    def on_fleet(self, now, share):
-        self.shares.append((now, share))
-
-    def on_witnesses(self, now, failing, here):
-        pass
-
-
-class Hollow:
-    """A proxy's control part without sessions. `told`: (server, phase) -> when its peers told it so, first."""
+class Member(Sessionless):
+    """`told`: (server, phase) -> when its peers told it so, first."""
 
     def __init__(self, clock):
+        super().__init__({}, 4.0)
         self.clock = clock
-        self.balancer = Balancer()
-        self.servers = {}
         self.told = {}
 
     def list(self, peers, name, draining, started):
@@ -110,7 +86,7 @@
         seeds = next(each.seeds for each in layout.zones if each.name == zone)
         told = Told(name=name, cluster="lab", listen=listen, advertise="%s:%d" % listen, seeds=seeds, key=b"the lab's own",
                     roster=(), control=None, period=self.period, patience=0.3 * self.period, zone=zone, layout=layout)
-        proxy = self.proxies[name] = Hollow(host.clock)
+        proxy = self.proxies[name] = Member(host.clock)
         birth = random.Random(f"{self.seed}/{name}/{self.starts[name]}").getrandbits(48) | 1
         log = lambda event, **fields: self.lines.append((self.clock.now(), name, event, fields))
         peers = self.peers[name] = instance_of(told)(
@@ -224,8 +200,3 @@
         self.run(seconds)
         return {name: tuple((new - old) / seconds for new, old in zip((peers.links.bytes, peers.links.sent), before[name]))
                 for name, peers in self.peers.items() if name in before}
-
-
-def p99(values):
-    values = sorted(values)
-    return quantiles(values, n=100)[98] if len(values) > 1 else values[0]
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -6,6 +6,7 @@
 import click
 
 from wheathill.lab.scale.data_commands import data, table, walks
+from wheathill.lab.scale.kept import keep
 
 
 def say(text):
@@ -42,8 +43,7 @@
     """Run hollow proxies and judge them from outside; exit with 1 if something did not hold."""
     from wheathill.lab.scale import fleet as runs
     found = runs.play(runs.Plan(rate=stretch, shaped=not no_shape, faults=not no_faults, **told), say)
-    if json_path:
-        runs.keep(found, json_path)
+    keep(found, json_path)
     click.echo(json.dumps(found))
     for breach in found["breaches"]:
         say(f"did not hold: {breach}")
@@ -59,11 +59,9 @@
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 def honest(members, before, rest, processes, seed, json_path):
     """Measure hollow proxies against real ones; exit with 1 where they are more than 15% apart."""
-    from wheathill.lab.scale import fleet as runs
     from wheathill.lab.scale.honest import compare
     found = compare(members, seed, before, rest, processes, say)
-    if json_path:
-        runs.keep(found, json_path)
+    keep(found, json_path)
     for name, apart in found["apart"].items():
         click.echo(f"{name:<16} real {found['real'][name]:>12.4f}  hollow {found['hollow'][name]:>12.4f}  {apart:+.1%}")
     sys.exit(0 if found["honest"] else 1)
@@ -108,8 +106,7 @@
     from wheathill.lab.scale import slope as slopes
     plan = runs.Plan(members=sizes[-1], faults=False, changes=0, **told)
     found = slopes.play(sizes, plan, stretches, say)
-    if json_path:
-        runs.keep(found, json_path)
+    keep(found, json_path)
     for line in slopes.lines(found["runs"]):
         click.echo(line)
     for name, error in found["error"].items():
--- a/wheathill/lab/scale/data.py
+++ b/wheathill/lab/scale/data.py
@@ -8,8 +8,7 @@
 import signal
 import time
 
-from wheathill.lab.scale import line as fit
-from wheathill.lab.scale import seen
+from wheathill.lab.scale import fit, seen
 from wheathill.lab.scale.ends import merged
 from wheathill.lab.scale.rig import Failed, Rig, ask_all
 
@@ -265,9 +264,7 @@
     off what the smaller ones had said."""
     found = {}
     for name, (key, times, forms) in SLOPES.items():
-        points = [(one["connections"], times * one[key]) for one in by_size]
-        line = fit.fitted(points, forms)
-        found[name] = {**line, f"at {SIZE}": fit.at(line, SIZE), "largest": fit.predicted(points, forms)}
+        found[name] = fit.grown([(one["connections"], times * one[key]) for one in by_size], SIZE, forms)
     return found
 
 
@@ -279,11 +276,7 @@
         found["by_size"] = [at_size(size, rate=rate, **told) for size in sizes]
         found["slopes"] = slopes(found["by_size"])
         for name, line in found["slopes"].items():
-            largest = line["largest"]
-            say(f"    {name:34} {line['form']:8} {line['start']:.4g} + {line['slope']:.4g} x, residual "
-                f"{100 * line['residual']:.0f}%, at {SIZE}: {line[f'at {SIZE}']:.4g}" + (
-                    f"; largest predicted {largest['predicted']:.4g}, measured {largest['measured']:.4g}"
-                    if largest else ""))
+            say(fit.line_of(name, line, SIZE))
     if "parts" in only:
         found["rest"] = parts_at_rest(sizes[-1], **told)
     if "core" in only:
--- a/wheathill/lab/scale/data_commands.py
+++ b/wheathill/lab/scale/data_commands.py
@@ -1,16 +1,10 @@
 """`wheathill lab scale data`, `table` and `walks`."""
 
-import json
 import sys
 
 import click
 
-
-def keep(found, path):
-    if path:
-        with open(path, "w") as out:
-            json.dump(found, out, indent=1)
-            out.write("\n")
+from wheathill.lab.scale.kept import keep
 
 
 @click.command()
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -319,9 +319,3 @@
         return asyncio.run(Fleet(plan, say).play())
     except Lost as wrong:
         raise Misconfigured(str(wrong)) from None
-
-
-def keep(found, path):
-    with open(path, "w") as out:
-        json.dump(found, out, indent=2)
-        out.write("\n")
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -20,6 +20,7 @@
 import wheathill.cli        # noqa: F401
 import wheathill.daemon     # noqa: F401
 from wheathill.config import operator
+from wheathill.lab.cast.sessionless import Sessionless
 from wheathill.lab.scale.layout import Layout
 from wheathill.lab.scale.memory import allocated_mb, resident_mb
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
@@ -74,14 +75,12 @@
         return self.clock.now() - FRESH if self.clock else -1e12
 
 
-class StandIn:
-    """What a `Peers` asks of a proxy and its decisions, and tells them."""
+class StandIn(Sessionless):
+    """Tells one of this process's hollow proxies what its peers say."""
 
     def __init__(self, hollow, servers):
-        self.hollow, self.servers = hollow, servers
-        self.balancer = self.cold = self.levels = self
-        self.borne = 0.25
-        self.rights = None
+        super().__init__(servers, 0.25)
+        self.hollow = hollow
 
     def on_fleet(self, now, share):
         self.hollow.takes(now, share)
--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -133,6 +133,10 @@
         carrier.wires[self] = None
         self.attempt(FIRST_AGAIN)
 
+    @property
+    def held_back(self):
+        return self.machine.held_back
+
     def attempt(self, again):
         shape = self.shape
         if self.over:
--- a/wheathill/lab/scale/table.py
+++ b/wheathill/lab/scale/table.py
@@ -14,7 +14,7 @@
 import orjson
 
 from wheathill.config import node_of
-from wheathill.lab.scale import line as fit
+from wheathill.lab.scale import fit
 from wheathill.model import Listener, ListKind, Outcome, Phase, Server, Session
 from wheathill.net.clock import Clock
 from wheathill.net.discovery import Watch
@@ -236,14 +236,9 @@
     by_servers = [at_servers(count, seed, say) for count in counts]
     found = {"seed": seed, "by_servers": by_servers, "slopes": {}}
     for name in SLOPES:
-        points = [(one["servers"], one[name]) for one in by_servers]
-        line = fit.fitted(points, ("constant", "linear", "square"))
-        found["slopes"][name] = {**line, f"at {SERVERS}": fit.at(line, SERVERS),
-                                 "largest": fit.predicted(points, ("constant", "linear", "square"))}
-        largest = found["slopes"][name]["largest"]
-        say(f"    {name:26} {line['form']:8} {line['start']:.4g} + {line['slope']:.4g} x, residual "
-            f"{100 * line['residual']:.0f}%, at {SERVERS}: {fit.at(line, SERVERS):.4g}" + (
-                f"; largest predicted {largest['predicted']:.4g}, measured {largest['measured']:.4g}" if largest else ""))
+        found["slopes"][name] = fit.grown([(one["servers"], one[name]) for one in by_servers], SERVERS,
+                                          ("constant", "linear", "square"))
+        say(fit.line_of(name, found["slopes"][name], SERVERS))
     for one in by_servers:
         say(f"    {one['servers']:6} servers: probes a second by sessions a second " + ", ".join(
             f"{rate}: {sent:g}" for rate, sent in one["probes"].items()) + "; where all of them return " + ", ".join(
--- a/wheathill/lab/scale/walks.py
+++ b/wheathill/lab/scale/walks.py
@@ -3,7 +3,7 @@
 
 import time
 
-from wheathill.lab.scale import line as fit
+from wheathill.lab.scale import fit
 from wheathill.lab.scale.table import proxy, timed
 from wheathill.model import Listener, Session
 from wheathill.net.client import Client
@@ -52,5 +52,4 @@
 def measure(counts, *, say):
     found = [at_connections(count, say) for count in counts]
     points = [(one["connections"], one["sweep_ms"]) for one in found]
-    return {"by_connections": found, "sweep_ms": {**fit.fitted(points, ("constant", "linear")),
-                                                  "largest": fit.predicted(points, ("constant", "linear"))}}
+    return {"by_connections": found, "sweep_ms": fit.grown(points, counts[-1], ("constant", "linear"))}
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -237,8 +237,7 @@
                 self.tell_lost(False)
 
     async def connect(self, address, source):
-        # A relay's end has no say in it.
-        while getattr(self.machine, "held_back", False):
+        while self.machine.held_back:
             await asyncio.sleep(0)
         try:
             await self.carrier.loop.create_connection(lambda: self, *address,
--- a/wheathill/peers/board.py
+++ b/wheathill/peers/board.py
@@ -117,25 +117,27 @@
         return [place for place, (mine, theirs) in enumerate(zip(self.sums, sums)) if mine != theirs]
 
     def within(self, buckets):
-        buckets = dict.fromkeys(buckets)
-        return [record for key, record in sorted(self.records.items()) if self.bucket(key) in buckets]
+        """{bucket: records in it} of these, in one look at all that is held."""
+        found = {bucket: [] for bucket in buckets}
+        for key, record in sorted(self.records.items()):
+            found.get(self.bucket(key), []).append(record)
+        return found
 
     def ahead(self, buckets, records):
         """What this board has in `buckets` that is later than `records`, which are all that another has there."""
         theirs = {record[0]: version(record) for record in records}
-        return [record for record in self.within(buckets)
+        return [record for some in self.within(buckets).values() for record in some
                 if record[0] not in theirs or theirs[record[0]] < version(record)]
 
     # Zones
 
     def summary(self, zone):
-        """(version, value) of what was last said of a zone; None where nothing was."""
-        record = self.records.get(ZONE + zone)
-        return None if record is None else (version(record), record[4])
+        """The record of what was last said of a zone; None where nothing was."""
+        return self.records.get(ZONE + zone)
 
     def write_summary(self, zone, writer, value):
         """Returns the record that is to be told."""
-        held = self.records.get(ZONE + zone)
+        held = self.summary(zone)
         record = [ZONE + zone, 0, (held[2] if held else 0) + 1, writer, value]
         self.hold(record)
         return record
--- a/wheathill/peers/instance.py
+++ b/wheathill/peers/instance.py
@@ -169,9 +169,8 @@
         self.clock.after(self.told.period, self.tick)
         now = self.clock.now()
         self.look(now)
-        reached = [member for member in self.membership.alive() if member is not self.membership.me]
         if not self.telling:
-            self.telling = list(reached)
+            self.telling = self.reached()
             self.shuffle(self.telling)
         self.note()
         now_told, self.telling = self.telling[:self.TELLS], self.telling[self.TELLS:]
@@ -187,6 +186,9 @@
             self.tell_news(now_told[0].address)
         self.judge_servers(now, own)
 
+    def reached(self):
+        return [member for member in self.membership.alive() if member is not self.membership.me]
+
     def note(self):
         """Every message tells the digest of this view; one that has changed is told at once, so that all know soon
         that they agree."""
@@ -264,10 +266,18 @@
             said = self.drains.list_says(name, phase is Phase.DRAINING, started)
             if said is not None and (said[2] or said[1] > 1):
                 self.tell_all([DRAINS, [said]])
-        return self.holds(name, phase, started), self.starts.of(name, started)
+        return self.holds(name, phase, started), self.latest(name, started)
+
+    def latest(self, name, started):
+        """The latest start of a server's process that anyone was told of, where the own list says `started`."""
+        return self.starts.of(name, started)
+
+    def drained(self, name, started):
+        """Whether anyone was told that the process which started then drains."""
+        return self.drains.drains(name, started)
 
     def holds(self, name, phase, started):
-        drains = phase is Phase.READY and self.drains.drains(name, self.starts.of(name, started))
+        drains = phase is Phase.READY and self.drained(name, self.latest(name, started))
         return Phase.DRAINING if drains else phase
 
     def forget_server(self, name):
@@ -279,7 +289,7 @@
             server = self.proxy.servers.get(name)
             if server is not None and name in self.own:
                 self.proxy.told_by_peers(server, self.holds(name, *self.own[name]),
-                                         self.starts.of(name, self.own[name][1]))
+                                         self.latest(name, self.own[name][1]))
 
     # Operators
 
--- a/wheathill/peers/zoned.py
+++ b/wheathill/peers/zoned.py
@@ -4,11 +4,13 @@
 zone's first delegate, a limit's share is a share of the zone's part. docs/design/zones.md.
 """
 
+from functools import partial
+
 from wheathill.model import Phase
 from wheathill.peers.board import SERVER, Board
 from wheathill.peers.facts import AGREED, ALONE
 from wheathill.peers.instance import NOTE, Peers, bounded
-from wheathill.peers.zones import Zones, check
+from wheathill.peers.zones import AT_WORK, DELEGATES, DIGEST, LAYOUT, OUT_OF_REACH, REACHED, Zones, check
 
 NEWS, DIFFER, HAVE, BEAT, BEATEN = "news", "differ", "have", "beat", "beaten"
 
@@ -24,16 +26,15 @@
     NOTED_AGAIN = 32.0          # periods at the most between two tellings of one view
 
     def __init__(self, told, proxy, carrier, clock, log, birth, meant):
-        zone = next(zone for zone in told.layout.zones if zone.name == told.zone)
-        super().__init__(told, proxy, carrier, clock, log, birth, max(1, zone.proxies))
+        meant = max(1, told.layout.zone(told.zone).proxies)
+        super().__init__(told, proxy, carrier, clock, log, birth, meant)
         self.seal.VERSION = self.VERSION
         # Who starts out of everyone's reach can't know that others took over the part of the process before it.
-        self.facts.least = max(1, zone.proxies)
+        self.facts.least = meant
         self.wall = lambda: clock.to_wall(clock.now())
-        self.writer = f"{told.name} {birth}"
         self.board = Board([zone.name for zone in told.layout.zones], check)
-        self.zones = Zones(clock.now(), told.layout, told.zone, self.writer, self.board, told.period,
-                           self.shuffle, self.choice)
+        self.zones = Zones(clock.now(), told.layout, told.zone, f"{told.name} {birth}", self.board,
+                           told.period, self.shuffle, self.choice)
         self.news = {}              # key -> record that waits to be passed on
         self.abroad = {}            # those of them that were first heard within the zone
         self.begun = False          # whether some of them begin here
@@ -84,8 +85,7 @@
             where, sums = rest
             if self.asks < self.MOST_ASKS:
                 self.asks += 1
-                buckets = self.board.differing(sums)
-                for part in self.bulks(buckets):
+                for part in self.bulks(self.board.within(self.board.differing(sums))):
                     self.say(where, [HAVE, self.told.advertise, *part])
         else:
             where, buckets, records = rest
@@ -107,12 +107,12 @@
             self.asked_at[address] = self.same_at = now
             self.say(address, [DIFFER, self.told.advertise, self.board.sums])
 
-    def bulks(self, buckets):
-        """(buckets, all records in them), not too many at once."""
+    def bulks(self, found):
+        """(buckets, all records in them), not too many at once; `found` as `Board.within`."""
         some, records = [], []
-        for bucket in buckets:
+        for bucket, within in found.items():
             some.append(bucket)
-            records += self.board.within([bucket])
+            records += within
             if len(records) >= self.BULK:
                 yield some, records
                 some, records = [], []
@@ -173,9 +173,6 @@
             for address in addresses:
                 self.say(address, [NEWS, part])
 
-    def reached(self):
-        return [member for member in self.membership.alive() if member is not self.membership.me]
-
     # Delegates
 
     def delegates(self):
@@ -186,7 +183,7 @@
 
     def summaries(self):
         """The record of the own zone's summary, if there is one."""
-        record = self.board.records.get("z/" + self.told.zone)
+        record = self.board.summary(self.told.zone)
         return [] if record is None else [record]
 
     def state(self):
@@ -224,8 +221,7 @@
 
     def zones_say(self):
         """What the own zone's summary confirms."""
-        held = self.board.summary(self.told.zone)
-        self.facts.confirmed = held[1][3] or None if held else None
+        self.facts.confirmed = self.zones.said(self.told.zone, DIGEST) or None
 
     def note(self):
         """A view that has changed is told to the delegates, and again until the summary says that all have it."""
@@ -264,18 +260,13 @@
             record = self.board.list_says(self.wall(), name, phase is Phase.DRAINING, started)
             if record is not None:
                 self.begin(self.clock.now(), record)
-        return self.holds(name, phase, started), self.board.start(name, started)
+        return self.holds(name, phase, started), self.latest(name, started)
 
-    def holds(self, name, phase, started):
-        drains = phase is Phase.READY and self.board.drains(name, self.board.start(name, started))
-        return Phase.DRAINING if drains else phase
+    def latest(self, name, started):
+        return self.board.start(name, started)
 
-    def apply(self, names):
-        for name in names:
-            server = self.proxy.servers.get(name)
-            if server is not None and name in self.own:
-                self.proxy.told_by_peers(server, self.holds(name, *self.own[name]),
-                                         self.board.start(name, self.own[name][1]))
+    def drained(self, name, started):
+        return self.board.drains(name, started)
 
     # Operators
 
@@ -284,14 +275,12 @@
         found = super().table()
         rows = []
         for zone in self.told.layout.zones:
-            held = self.board.summary(zone.name)
-            value = held[1] if held else None
+            said = partial(self.zones.said, zone.name)
             rows.append({
                 "name": zone.name, "region": zone.region, "meant": zone.proxies, "part": round(zone.part, 6),
                 "state": self.zones.state(zone.name, self.state()),
-                "at_work": value and value[1], "reached": value and value[2], "layout": value and value[5],
-                "out_of_reach": value[4] if value else [],
-                "delegates": [name for name, _ in value[6]] if value else []})
+                "at_work": said(AT_WORK), "reached": said(REACHED), "layout": said(LAYOUT),
+                "out_of_reach": said(OUT_OF_REACH, []), "delegates": [name for name, _ in said(DELEGATES, [])]})
         return {**found, "zone": self.told.zone, "region": self.zones.own.region, "layout": self.told.layout.version,
                 "part": round(self.zones.part(), 6), "fleet_at_work": self.zones.at_work(self.facts.fleet(now)),
                 "region_state": self.zones.region_state(self.state()),
--- a/wheathill/peers/zones.py
+++ b/wheathill/peers/zones.py
@@ -11,9 +11,11 @@
 
 import hashlib
 
+from wheathill.peers.board import version
 from wheathill.peers.facts import AGREED, ALONE, CUT_OFF, DOUBT
 
 STATES = AGREED, DOUBT, CUT_OFF, ALONE
+STATE, AT_WORK, REACHED, DIGEST, OUT_OF_REACH, LAYOUT, DELEGATES = range(7)     # of a summary
 
 
 def rank(*words):
@@ -45,7 +47,7 @@
     def __init__(self, now, layout, own, writer, board, period, shuffle, choice):
         self.layout, self.writer, self.board, self.period = layout, writer, board, period
         self.shuffle, self.choice = shuffle, choice
-        self.own = next(zone for zone in layout.zones if zone.name == own)
+        self.own = layout.zone(own)
         self.others = {zone.name: zone for zone in layout.zones if zone is not self.own}
         # zone -> when anyone of it last spoke here, or since when this one speaks for its own
         self.heard = dict.fromkeys(self.others, now)
@@ -56,6 +58,11 @@
         self.wait, self.write_at = self.APART * period, now
         self.behind = False         # somebody holds a layout two versions later
 
+    def said(self, zone, what, nothing=None):
+        """One word of a zone's summary, as far as it is known; `nothing` where none was said."""
+        held = self.board.summary(zone)
+        return nothing if held is None else held[4][what]
+
     # Delegates
 
     def delegates(self, members):
@@ -79,14 +86,13 @@
 
     def addresses(self, zone):
         """Where members of another zone are, as far as is known: its delegates, as it last said, then its seeds."""
-        known = self.board.summary(zone)
-        told = [address for _, address in known[1][6]] if known else []
+        told = [address for _, address in self.said(zone, DELEGATES, [])]
         return list(dict.fromkeys([*told, *self.others[zone].seeds]))
 
     def address(self, now, zone):
         """One of them. Where nothing is heard each is tried in turn: its delegates may be gone."""
-        known, addresses = self.board.summary(zone), self.addresses(zone)
-        if known is None or now - self.heard[zone] > self.LATE * self.period:
+        addresses = self.addresses(zone)
+        if self.board.summary(zone) is None or now - self.heard[zone] > self.LATE * self.period:
             self.tried += 1
             return addresses[self.tried % len(addresses)]
         return self.choice(addresses[:self.DELEGATES])
@@ -107,16 +113,17 @@
         """The record that tells a new summary, or None where the one that is held says the same, or this one has been
         overwritten by another that takes itself for first, and waits."""
         held = self.board.summary(self.own.name)
-        if held is not None and held[1] == value:
-            if held[0] == self.wrote and now - self.write_at > 30 * self.period:
+        last = held and version(held)
+        if held is not None and held[4] == value:
+            if last == self.wrote and now - self.write_at > 30 * self.period:
                 self.wait = self.APART * self.period
             return None
         if now < self.write_at:
             return None
-        if self.wrote is not None and held is not None and held[0] != self.wrote:
+        if None not in (self.wrote, last) and last != self.wrote:
             self.wait = min(self.PATIENCE * self.period, 2 * self.wait)
         record = self.board.write_summary(self.own.name, self.writer, value)
-        self.wrote, self.write_at = (record[1], record[2], record[3]), now + self.wait
+        self.wrote, self.write_at = version(record), now + self.wait
         return record
 
     # Limits
@@ -124,8 +131,7 @@
     def through(self, zone):
         """The version of the layout that all who may be at work in a zone have held, as it last said; 0: not known. It never
         falls: who starts with an earlier one later on takes nothing."""
-        held = self.board.summary(zone)
-        return held[1][5] if held else 0
+        return self.said(zone, LAYOUT, 0)
 
     def part(self):
         """The own zone's part of every limit over all."""
@@ -162,15 +168,11 @@
         """Of one zone as far as it is known here; `mine`: of the own one."""
         if zone == self.own.name:
             return mine
-        held = self.board.summary(zone)
-        if held is None or zone in self.unreached():
-            return DOUBT
-        return held[1][0]
+        return DOUBT if zone in self.unreached() else self.said(zone, STATE, DOUBT)
 
     def unreached(self):
         """Zones out of reach, as the own delegates say; none where they have said nothing yet."""
-        held = self.board.summary(self.own.name)
-        return held[1][4] if held else []
+        return self.said(self.own.name, OUT_OF_REACH, [])
 
     def region_state(self, mine):
         others = [zone for zone in self.others.values() if zone.region != self.own.region]
@@ -189,5 +191,4 @@
 
     def at_work(self, mine):
         """How many may be at work in all: as last said, or as the layout says where nothing was."""
-        found = {zone: self.board.summary(zone) for zone in self.others}
-        return mine + sum(held[1][1] if held else self.others[zone].proxies for zone, held in found.items())
+        return mine + sum(self.said(name, AT_WORK, zone.proxies) for name, zone in self.others.items())
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -35,7 +35,7 @@
     """(draw, place) of the lowest for each slot; of many, those of the lowest highest byte are compared."""
     draws = [server.draws for server in servers]
     if len(draws) < 64:
-        yield from ((min(column), column.index(min(column))) for column in zip(*draws))
+        yield from ((low := min(column), column.index(low)) for column in zip(*draws))
         return
     block, high = b"".join(draws), 3 * (sys.byteorder == "little")
     for slot in range(size):
