--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -255,6 +255,9 @@
             return
         Finder(self, seat, start).begin()
 
+    def listens(self, name):
+        return self.ways.ends[name].door is not None
+
     def gone(self, seat):
         if seat.name in self.peers:
             self.ways.ends[seat.name].listens(False)
