--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -64,6 +64,7 @@
         self.path = os.path.join(self.folder, "daemon.toml")
         self.paused = False
         self.burners = []
+        self.began = 0.0        # by the loop's time
         self.asker = None
         self.view_asked = 0.0
 
@@ -76,6 +77,7 @@
 
     def start(self):
         self.starts += 1
+        self.began = self.world.loop.time()
         self.write()
         self.paused = False
         sockets = self.values["limits"]["sockets"] + SPARE_FILES + 16
@@ -113,6 +115,10 @@
         except (OSError, AttributeError):
             return 0.0
 
+    def had_ms(self):
+        """The time since its start, but for what it waited for a core: how slow the machine is just now is not its fault."""
+        return (self.world.loop.time() - self.began) * 1000 - self.waited_ms()
+
     def cpu_s(self):
         """Processor time, user and system."""
         with open(f"/proc/{self.process.pid}/stat") as stat:
@@ -162,6 +168,7 @@
     def __init__(self, seat, world):
         super().__init__(seat, world.carrier.limits, world.clock)
         self.seat, self.world = seat, world
+        self.process = seat.process
         self.text = b""
 
     def take(self, wire):
@@ -177,7 +184,9 @@
         if self.text.endswith(b"\n"):
             found = orjson.loads(self.text)
             self.over()
-            self.world.believes(self.seat, found)
+            # What a process said that is gone says nothing of the next one.
+            if self.seat.process is self.process:
+                self.world.believes(self.seat, found)
 
     def lost(self, reset):
         self.over()
@@ -255,8 +264,9 @@
             return
         Finder(self, seat, start).begin()
 
-    def listens(self, name):
-        return self.ways.ends[name].door is not None
+    def starting(self):
+        return {name: round(seat.had_ms()) for name, seat in self.seats.items()
+                if seat.running and name in self.peers and self.ways.ends[name].door is None}
 
     def gone(self, seat):
         if seat.name in self.peers:
