Among processes a script's time counts from when all instances listen

Cause: twelve processes take 1 to 9 s to start on a busy machine, and the script's clock ran meanwhile: a fault of second 6 met a fleet that had not begun to listen. What a play proves was up to the machine's load.

Change: the lab's clock stands at 0 until all listen, each within 5 s of its own time (what it waits for a core is not counted), else the run fails. Datagrams a second are counted from then. The relay closes its sockets itself, so that two plays in one process don't meet on a port.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 
 import pytest
@@ -21,6 +22,7 @@
 from wheathill.lab.judging.mutated import MUTANTS
 from wheathill.lab.scripts import language
 from wheathill.lab.scripts.run import play as virtual
+from wheathill.lab.scripts.run import play as processes
 
 SCRIPTS = sorted(path.stem for path in pathlib.Path("experiments/peers").glob("*.toml"))
 IN_MEMORY = [name for name in SCRIPTS if name not in ("starved", "strangers")]
@@ -160,6 +162,35 @@
     assert done.returncode == 1 and "fault without effect: link on n1" in done.stdout
 
 
+SLOW = "import runpy, time; time.sleep({}); runpy.run_module('wheathill', run_name='__main__')"
+
+
+def short_play(seconds, program, *events):
+    """The fleet of `flapping` for a few seconds, by another program."""
+    text = pathlib.Path(path_of("flapping")).read_text().partition("[[event]]")[0]
+    text = text.replace("seconds = 26", f"seconds = {seconds}") + "".join(
+        f'[[event]]\nat_s = {at}\ndo = "{do}"\non = "{on}"\n' for at, do, on in events)
+    return processes(language.script_of(tomllib.loads(text)), 1, world="processes", program=("-c", program))
+
+
+def test_a_script_s_time_counts_from_when_all_listen():
+    """However long that takes; and the truth says who doesn't listen yet of those that start later on."""
+    result = short_play(6, SLOW.format(2.0), (1, "proxy-kill", "n1"))
+    events = result.scene.record.events
+    assert all(now == 0.0 for now, kind, fields in events[:100]
+               if kind == "log" and fields["event"] == "listening")
+    truths = [(now, fields["starting"]) for now, kind, fields in events if kind == "truth"]
+    assert all(starting == {} for now, starting in truths if now < 1000.0) and truths[0][0] < 1000.0
+    had = [starting["n1"] for _, starting in truths if "n1" in starting]
+    assert had == sorted(had) and had[-1] > 1500.0 and truths[-1][1] == {}
+    assert [str(breach) for breach in result.breaches] == []
+
+
+def test_a_program_that_never_listens_ends_the_run():
+    with pytest.raises(AssertionError, match="doesn't listen"):
+        short_play(4, SLOW.format(600))
+
+
 @pytest.mark.parametrize("change, fault", [
     (("event.0.with", "n9"), "event[0].with: 'n9' is no proxy"),
     (("event.0.when", "n1 eats n2"), "event[0].when: 'n1 eats n2' is none of"),
--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import tomllib
 
 import pytest
@@ -241,6 +242,28 @@
     assert {("a", b"still heard", "b"), ("b", b"last", "a")} == set(heard)
 
 
+def test_a_held_clock_stands_at_the_start():
+    loop = asyncio.new_event_loop()
+    clock = LabClock(loop)
+    clock.hold()
+    rang = []
+
+    async def wait():
+        clock.at(10.0, lambda: rang.append(clock.now()))
+        while not rang:
+            await asyncio.sleep(0.001)
+        began = loop.time() * 1000
+        clock.go()
+        assert clock.now() < 5.0 + loop.time() * 1000 - began
+        assert abs(clock.to_wall(clock.now()) - time.time() * 1000) < 50.0
+        clock.at(10.0, lambda: rang.append(clock.now()))
+        while len(rang) < 2:
+            await asyncio.sleep(0.001)
+    loop.run_until_complete(asyncio.wait_for(wait(), 8))
+    loop.close()
+    assert rang[0] == 0.0 and rang[1] >= 9.9
+
+
 def test_sockets_world():
     """One script with a bit of everything, on real sockets and processes, within the rules."""
     text = open("tests/scripts/mutants.toml").read().replace("seconds = 14", "seconds = 9") + """
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -165,6 +165,7 @@
         script = self.script
         for name in self.seats:
             self.start_proxy(name)
+        self.world.settle()
         for event in script.event:
             if event.at_s is not None:
                 self.clock.at(event.at_s * 1000, self.happen, event)
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -6,6 +6,7 @@
 ends it, by the system's parent-death signal.
 """
 
+import asyncio
 import ctypes
 import os
 import random
@@ -204,9 +205,11 @@
 class ProcessWorld(Outside, SocketWorld):
     name = "processes"
     opening = 1500.0
+    START = 5000.0          # ms of its own that a process has until it listens
 
     def __init__(self, seed, network, limits, started=None):
         super().__init__(seed, network)
+        self.clock.hold()
         from wheathill.lab.worlds.host import raise_fault
         from wheathill.net.driver import Carrier
         self.carrier = Carrier(self.loop, limits, raise_fault)
@@ -272,6 +275,24 @@
         if seat.name in self.peers:
             self.ways.ends[seat.name].listens(False)
 
+    def settle(self):
+        """A script's time counts from when all listen: how long so many processes take to start on a busy machine would
+        else decide what its first faults meet, and whether there is any view yet."""
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(self.all_listen())
+        except RuntimeError:
+            raise self.fault or RuntimeError("the loop was stopped while processes started") from None
+        self.ways.sent.clear()
+        self.clock.go()
+
+    async def all_listen(self):
+        while starting := self.starting():
+            for name, had in starting.items():
+                if had > self.START:
+                    raise AssertionError(f"{name} doesn't listen, {had} ms of its own time after its start")
+            await asyncio.sleep(0.01)
+
     def run(self, seconds):
         if self.peers:
             self.watch()
--- a/wheathill/lab/worlds/relay.py
+++ b/wheathill/lab/worlds/relay.py
@@ -102,11 +102,11 @@
     def __init__(self, relay, name, private, public):
         self.relay, self.name, self.private, self.public = relay, name, private, public
         self.door = None
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(public)
-        sock.setblocking(False)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(public)
+        self.sock.setblocking(False)
         self.transport = None
-        self.task = relay.loop.create_task(relay.loop.create_datagram_endpoint(lambda: self, sock=sock))
+        self.task = relay.loop.create_task(relay.loop.create_datagram_endpoint(lambda: self, sock=self.sock))
 
     def connection_made(self, transport):
         self.transport = transport
@@ -135,6 +135,8 @@
         self.listens(False)
         if self.transport is not None:
             self.transport.close()
+        # The transport would do so at its loop's next turn; there is none after a run.
+        self.sock.close()
 
 
 class Half(Machine):
--- a/wheathill/lab/worlds/sockets.py
+++ b/wheathill/lab/worlds/sockets.py
@@ -45,17 +45,28 @@
 
 
 class LabClock(Clock):
-    """Counts from the start of the run."""
+    """Counts from the start of the run. While it is held it stands at 0, and alarms go off as if that were now."""
 
     def __init__(self, loop):
+        self.held = False
         self.start = loop.time() * 1000
         super().__init__(loop)
 
+    def hold(self):
+        self.held = True
+
+    def go(self):
+        """The run starts now."""
+        self.held = False
+        self.start = self.loop.time() * 1000
+        self.offset = self.now() - time.time() * 1000
+
     def now(self):
-        return self.loop.time() * 1000 - self.start
+        return 0.0 if self.held else self.loop.time() * 1000 - self.start
 
     def at(self, when, call, *args):
-        return self.loop.call_at((when + self.start) / 1000, call, *args)
+        start = self.loop.time() * 1000 if self.held else self.start
+        return self.loop.call_at((when + start) / 1000, call, *args)
 
     def put(self, when, call, args):
         return self.at(when, call, *args)
@@ -435,6 +446,9 @@
                 if memory > seat.values["limits"]["memory_mb"]:
                     self.record.note("over memory", proxy=name, mb=round(memory, 1))
 
+    def settle(self):
+        pass        # `opening` is what the proxies have to start
+
     def run(self, seconds):
         asyncio.set_event_loop(self.loop)
         self.loop.call_at((seconds * 1000 + self.clock.start) / 1000, self.loop.stop)
--- a/wheathill/lab/worlds/virtual.py
+++ b/wheathill/lab/worlds/virtual.py
@@ -91,6 +91,9 @@
         self.net.ways.append(way)
         return lambda: self.net.ways.remove(way)
 
+    def settle(self):
+        pass        # here a proxy has started as soon as it is there
+
     def run(self, seconds):
         if self.net.links is not None:
             self.watch()
