--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -12,10 +12,12 @@
 
 import pytest
 
-from wheathill.config import Misconfigured
+from wheathill.config import Misconfigured, operator
 from wheathill.lab.scale import fit, fleet, honest, judge
 from wheathill.lab.scale.hollow import StretchedClock, idle_node
 from wheathill.lab.scale.layout import PORT, Layout, free_net, region_of
+from wheathill.lab.scale.member import operators_file
+from wheathill.lab.scale.reals import numbers as real_numbers
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
 from wheathill.net.driver import Carrier
 from wheathill.net.machine import Machine
@@ -80,6 +82,49 @@
     assert all(breach in said for breach in found["breaches"])
 
 
+@pytest.fixture(scope="module")
+def mixed():
+    """Thirty hollow proxies and six real ones with sessions: (exit code, object, what was said). A region is cut off; a real
+    one dies, one is restarted, and one is told of the last of three drains."""
+    done = subprocess.run(command("--members", 36, "--real", 6, "--sessions", 3, "--zones", 6, "--regions", 3, "--seconds", 26,
+                                  "--loss", 0.01, "--cut", "r2", "--churn", 2, "--seed", 5, "--processes", 3),
+                          capture_output=True, text=True, timeout=180)
+    return done.returncode, json.loads(done.stdout), done.stderr
+
+
+def test_real_proxies_are_members_like_the_others(mixed):
+    code, found, said = mixed
+    assert code == 0 and found["breaches"] == [], said
+    assert found["running"] == found["views_right"] == 35 and found["real"]["running"] == 5
+    assert found["restarts"] == 2 and found["real"]["processes_started"] == 7
+    assert found["largest_sum_of_shares"] == 1.0 and found["not_reached"] == found["deaths_not_known"] == 0
+    assert 0 < found["real"]["change_in_force_s"]["max"] < fleet.WITHIN
+    # Their control part says what that of a hollow one says; a whole process costs more.
+    assert 0.3 < found["real"]["messages_per_s"]["mean"] / found["messages_per_s"]["mean"] < 3.0
+    assert found["real"]["core_share_with_sessions"]["mean"] > found["core_share"]["mean"]
+
+
+def test_real_proxies_follow_drains_that_others_were_told_and_keep_their_sessions(mixed):
+    real = mixed[1]["real"]
+    ways = real["sessions"]
+    assert real["opened_anew"] == 0 and real["never_in_use"] == [] and real["still_at_drained"] == 0
+    assert ways["moved"] > 5 and ways["ended"] > 100 and real["fewest_up_at_one"] > 20 and real["lines"] > 1000
+    assert not any(ways.get(how) for how in ("broken", "failed", "refused", "answered out of order")), ways
+    assert ways["died with its proxy"] > 5
+
+
+def test_what_real_proxies_are_told_is_what_hollow_ones_are(tmp_path):
+    told = Layout(40, 4, 2, 1, 1, 1000.0, 300.0, 0, 1, True)
+    (tmp_path / "key").write_bytes(told.told(0).key)
+    (tmp_path / "key").chmod(0o600)
+    path = tmp_path / "file.toml"
+    path.write_text(operators_file(told.name(7), "127.1.0.8:1", [{"name": "all"}], [("s", "127.0.0.1:1", "ready")], 40,
+                                   told.told(7), str(tmp_path / "key")))
+    assert operator.read(str(path)).peers == told.told(7)
+    assert [told.zone(number) for number in real_numbers(40, 4, 8)] == [0, 1, 2, 3, 0, 1, 2, 3]
+    assert real_numbers(40, 4, 8)[0] == 12 and real_numbers(6, 3, 5) == [1, 2, 3, 4, 5]
+
+
 def test_all_known_from_the_start_and_a_stretched_time(tmp_path):
     """Views that are given are the ones that would be found; three seconds of the machine are two of the fleet's."""
     start = time.monotonic()
@@ -121,7 +166,7 @@
 
 @pytest.mark.parametrize("more, said", [
     (("--cut", "r9"), "--cut: 'r9' is none of r1 to r2"), (("--kill-zone", "x"), "--kill-zone: 'x' is none of z1 to z3"),
-    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss")])
+    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss"), (("--real", "9"), "--real: must be")])
 def test_bad_options_name_themselves(more, said):
     done = subprocess.run(command("--members", 9, "--zones", 3, "--regions", 2, "--seconds", 5, *more),
                           capture_output=True, text=True, timeout=60)
@@ -159,6 +204,17 @@
     assert sorted(took) == [0.0, 1.5, 4.0] and never == 1
 
 
+def test_a_session_at_a_drained_server_counts_once_its_proxy_could_have_known():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0)        # members 1 and 4
+    starts = {0: [0.0], 1: [0.0], 2: [0.0, 40.0], 4: [0.0]}
+    changes = {"c": (0, 12.0), "d": (0, 13.0)}
+    opens = [("c", 0, 11.0), ("c", 0, 18.4), ("c", 0, 18.6), ("c", 1, 36.4), ("c", 4, 36.6), ("c", 2, 46.4), ("c", 2, 39.9),
+             ("s", 0, 90.0)]
+    found = judge.opened_anew(opens, changes, starts, cut, 6.5)
+    assert found["opened_anew"] == 3 and [late[:2] for late in found["opened_anew_first"]] == [["c", 0], ["c", 4], ["c", 2]]
+    assert found["never_in_use"] == ["d"]
+
+
 def test_a_spread_of_nothing_tells_nothing():
     assert judge.spread([])["p99"] is None
     assert judge.spread(range(1, 101)) == {"mean": 50.5, "p50": 51, "p99": 100, "max": 100}
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -39,8 +39,12 @@
 @click.option("--one-way", is_flag=True, help="1, 5 and 80 to 200 ms each way, not for the way there and back")
 @click.option("--no-shape", is_flag=True, help="no delays, losses or cuts between the members")
 @click.option("--no-faults", is_flag=True, help="measure rest only")
+@click.option("--real", type=click.IntRange(0, 100), default=0, show_default=True,
+              help="of the members: daemons with sessions, a process each")
+@click.option("--sessions", type=click.FloatRange(0.0, 100.0), default=2.0, show_default=True,
+              help="a second, that visitors open at each real one")
 def fleet(json_path, stretch, no_shape, no_faults, **told):
-    """Run hollow proxies and judge them from outside; exit with 1 if something did not hold."""
+    """Run hollow proxies, and real ones among them, and judge them from outside; exit with 1 if something did not hold."""
     from wheathill.lab.scale import fleet as runs
     found = runs.play(runs.Plan(rate=stretch, shaped=not no_shape, faults=not no_faults, **told), say)
     keep(found, json_path)
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -1,4 +1,4 @@
-"""One run of a fleet of hollow proxies: it starts, rests, is measured, meets faults and is judged.
+"""One run of a fleet of hollow proxies, and some real ones among them: it starts, rests, is measured, meets faults and is judged.
 
 All times are the fleet's own seconds; `rate` says how many of the machine's go into one.
 """
@@ -14,6 +14,8 @@
 from wheathill.lab.scale import judge
 from wheathill.lab.scale.crew import Crews, Lost
 from wheathill.lab.scale.layout import Layout, free_net, region_of, zone_of
+from wheathill.lab.scale.reals import GRACE, Reals
+from wheathill.lab.scale.reals import numbers as real_numbers
 
 WITHIN = 6.0            # s for a change to be in force, and for a death to be known
 BACK = 2.0              # s until a process that was restarted is there again
@@ -47,12 +49,16 @@
     rest: float | None = None
     faults: bool = True
     sockets: int = 1024
+    real: int = 0           # of the members
+    sessions: float = 2.0   # a second at each real one
 
 
 class Fleet:
     def __init__(self, plan, say=lambda text: None):
         if plan.regions > plan.zones or plan.zones > plan.members:
             raise Misconfigured("--zones: must be as many as --regions at the least, and --members as --zones")
+        if plan.real >= plan.members:
+            raise Misconfigured("--real: must be fewer than --members")
         self.plan, self.say = plan, say
         net, self.held = free_net(os.getpid())
         ways = (1.0, 5.0, 80.0, 200.0) if plan.one_way else Layout.ways
@@ -62,7 +68,9 @@
         self.zone = None if plan.kill_zone is None else zone_of(plan.kill_zone, self.layout)
         self.rng = random.Random(f"{plan.seed}/faults")
         processes = plan.processes or min(os.cpu_count() or 1, -(-plan.members // 8))
-        self.crews = Crews(self.layout, processes)
+        real = real_numbers(plan.members, plan.zones, plan.real)
+        self.crews = Crews(self.layout, processes, real)
+        self.reals = Reals(self.layout, real, plan.sessions)
         self.starts = {number: 1 for number in range(plan.members)}     # of those that run
         self.gone, self.changes = {}, {}
         self.cut = judge.Cut(self.layout, None, 0.0, 0.0)
@@ -81,23 +89,34 @@
     async def until(self, when):
         await asyncio.sleep(max(0.0, (when - self.now()) * self.plan.rate))
 
+    # Members of both kinds
+
+    async def every(self, do, **order):
+        """The answers of all processes that have members."""
+        return await self.crews.all(do, **order) + await self.reals.all(do, **order)
+
+    def owner(self, number):
+        return self.reals if number in self.reals.numbers else self.crews
+
     # The run
 
     async def play(self):
         plan = self.plan
         try:
             await self.crews.begin(plan.rate, plan.loss, plan.shaped, plan.sockets)
-            self.say(f"{plan.members} hollow proxies in {len(self.crews.workers) - 1} processes, zones "
-                     f"{'told' if self.layout.zoned else 'not told'}")
+            await self.reals.begin(plan.rate, plan.loss, plan.shaped, plan.sockets)
+            self.say(f"{plan.members - plan.real} hollow proxies in {len(self.crews.workers) - 1} processes, {plan.real} "
+                     f"real ones, zones {'told' if self.layout.zoned else 'not told'}")
             idle = await self.crews.all("figures")
             await asyncio.sleep(1.0)
             self.idle = [(after["cpu_s"] - before["cpu_s"]) / (after["now"] - before["now"]) * 1000
                          for before, after in zip(idle, await self.crews.all("figures"))]
             self.began = time.monotonic() / plan.rate
-            await self.crews.start(plan.known)
+            await asyncio.gather(self.crews.start(plan.known), self.reals.start(plan.known))
             self.found["started_s"] = round(self.now(), 2)
             if plan.known:
                 self.began = time.monotonic() / plan.rate
+            await self.reals.receive()
             await self.settle()
             await self.rest()
             if plan.faults:
@@ -106,6 +125,7 @@
             return await self.judged()
         finally:
             await self.crews.end()
+            await self.reals.end()
             self.held.close()
 
     def expected(self):
@@ -117,7 +137,7 @@
 
     async def sight(self):
         found = {}
-        for each in await self.crews.all("sight", names=self.expected()):
+        for each in await self.every("sight", names=self.expected()):
             for key, count in each.items():
                 found[key] = found.get(key, 0) + count
         return found
@@ -145,9 +165,9 @@
         plan = self.plan
         if self.found["settled_s"] is None:
             self.say("they do not all know each other: what follows is not at rest")
-        before = await self.crews.all("figures")
+        before, real_before = await self.crews.all("figures"), await self.reals.all("figures")
         await self.until(self.now() + (plan.rest or 0.2 * plan.seconds))
-        after = await self.crews.all("figures")
+        after, real_after = await self.crews.all("figures"), await self.reals.all("figures")
         took, bytes_s, messages_s, share, alone = [], [], [], [], []
         spent = [(other["cpu_s"] - one["cpu_s"]) / (other["now"] - one["now"]) * 1000
                  for one, other in zip(before, after)]
@@ -173,31 +193,60 @@
             "bytes_per_s": judge.spread(bytes_s, 1), "messages_per_s": judge.spread(messages_s, 2),
             "core_share": judge.spread(alone or share, 6), "core_share_shared": judge.spread(share, 6),
             "memory_mb": judge.spread(used, 4), "resident_mb": judge.spread(each, 3),
-            "rest_s": round(max(took), 2), "late_ms": round(max(found["late_ms"] for found in after), 1)}
+            "rest_s": round(max(took), 2),
+            "late_ms": round(max(found["late_ms"] for found in after + real_after), 1)}
+        if self.plan.real:
+            self.found["real"] = self.real_at_rest(real_before, real_after, await self.reals.all("memory"))
         self.say(f"at rest: {self.found['bytes_per_s']['p50']} bytes/s, "
                  f"{100 * self.found['core_share']['mean']:.3f}% of a core "
                  f"({100 * self.found['core_share_shared']['mean']:.3f}% where they share processes), "
                  f"{self.found['memory_mb']['p50']} MB each")
 
+    @staticmethod
+    def real_at_rest(before, after, memory):
+        """What the control part said, as of a hollow one; processor and memory are those of the whole process."""
+        bytes_s, messages_s, core = [], [], []
+        for one, other in zip(before, after):
+            seconds = (other["now"] - one["now"]) / 1000
+            core.append((other["cpu_s"] - one["cpu_s"]) / seconds)
+            (old,), (new,) = one["members"].values(), other["members"].values()
+            messages_s.append((new[0] + new[1] - old[0] - old[1]) / seconds)
+            bytes_s.append((new[2] + new[3] - old[2] - old[3]) / seconds)
+        return {"bytes_per_s": judge.spread(bytes_s, 1), "messages_per_s": judge.spread(messages_s, 2),
+                "core_share_with_sessions": judge.spread(core, 5),
+                "resident_mb_whole": judge.spread([found["all"] for found in memory], 2)}
+
     async def faults(self):
         plan, first, each = self.plan, self.now(), self.plan.seconds
         spared = self.rng.randrange(plan.members)
         while self.zone is not None and self.layout.zone(spared) == self.zone:
             spared = self.rng.randrange(plan.members)
         others = [number for number in range(plan.members) if number != spared]
-        planned = [(first + 0.02 * each, self.kill, self.rng.sample(others, min(plan.deaths, len(others))))]
+        deaths = self.rng.sample(others, min(plan.deaths, len(others)))
+        # A real one is among those that die, each second one restarted is one, and one is told of a change itself.
+        real = [number for number in self.reals.numbers if number in others and (
+            self.zone is None or self.layout.zone(number) != self.zone)]
+        self.rng.shuffle(real)
+        issuer = real.pop() if real else spared
+        others = [number for number in others if number != issuer]
+        deaths = [number for number in deaths if number != issuer]
+        if real and deaths:
+            deaths[0] = real.pop()
+        planned = [(first + 0.02 * each, self.kill, deaths)]
         if self.zone is not None:
             planned.append((first + 0.04 * each, self.kill, [
                 number for number in others if self.layout.zone(number) == self.zone]))
         if self.region is not None:
             # Long enough in a minute for both sides to hold each other for dead.
             planned += [(first + 0.03 * each, self.set_cut, True), (first + 0.28 * each, self.set_cut, False)]
-        for _ in range(plan.churn):
-            planned.append((first + self.rng.uniform(0.0, 0.25) * each, self.restart, self.rng.choice(others)))
+        for turn in range(plan.churn):
+            when, number = first + self.rng.uniform(0.0, 0.25) * each, self.rng.choice(others)
+            planned.append((when, self.restart, real.pop() if real and turn % 2 == 0 else number))
         for change in range(plan.changes):
             # At first, amid what goes wrong, and after it.
             when = first + 0.30 * each * change / max(1, plan.changes - 1)
-            planned.append((min(when, max(first, each - WITHIN - 1.0)), self.change, (spared, change)))
+            number = issuer if change == plan.changes - 1 else spared
+            planned.append((min(when, max(first, each - WITHIN - 1.0)), self.change, (number, change)))
         while planned:
             planned.sort(key=lambda item: item[0])
             when, call, told = planned.pop(0)
@@ -215,27 +264,36 @@
 
     async def kill(self, numbers):
         numbers = [number for number in numbers if number in self.starts]
-        told = await self.crews.all("gone", names=[self.layout.name(number) for number in numbers])
-        await self.crews.each("kill", numbers)
+        told = await self.every("gone", names=[self.layout.name(number) for number in numbers])
+        await self.stop(numbers)
         for number in numbers:
             del self.starts[number]
             self.gone[number] = self.since(max(told))
         self.say(f"{self.now():.1f} s: {len(numbers)} killed")
 
+    async def stop(self, numbers):
+        """As SIGKILL."""
+        await self.crews.each("kill", [number for number in numbers if self.owner(number) is self.crews])
+        await self.reals.kill([number for number in numbers if self.owner(number) is self.reals])
+
     async def restart(self, number):
         if number in self.starts:
-            await self.crews.each("kill", [number])
+            await self.stop([number])
             start = self.starts.pop(number)
             return self.come_back, (number, start + 1)
 
     async def come_back(self, told):
         number, start = told
-        await self.crews.each("start", [number])
+        if self.owner(number) is self.reals:
+            await self.reals.come_back(number, start)
+        else:
+            await self.crews.each("start", [number])
         self.starts[number] = start
         self.found["restarts"] = self.found.get("restarts", 0) + 1
 
     async def set_cut(self, on):
-        told = self.since(max(await self.crews.all("cut", region=self.region if on else None)))
+        region = self.region if on else None
+        told = self.since(max(await self.crews.all("cut", region=region) + await self.reals.cut(region)))
         if on:
             self.cut = judge.Cut(self.layout, self.region, told, float("inf"))
         else:
@@ -244,12 +302,12 @@
 
     async def change(self, told):
         number, change = told
-        when = await self.crews.of("change", number, change=change)
+        when = await self.owner(number).of("change", number, change=change)
         self.changes[f"change-{change}"] = number, self.since(when)
 
     async def views(self):
         births = {self.layout.name(number): self.layout.birth(number, start) for number, start in self.starts.items()}
-        parts = await self.crews.all("views", births=births)
+        parts = await self.every("views", births=births)
         return {"right": sum(part["right"] for part in parts), "wrong": [one for part in parts for one in part["wrong"]]}
 
     # What it showed
@@ -257,14 +315,14 @@
     async def judged(self):
         plan, layout, end = self.plan, self.layout, self.now()
         views = await self.views()
-        parts = await self.crews.all("judged")
+        parts = await self.every("judged")
         told = {int(number): {server: self.since(when) for server, when in found.items()}
                 for part in parts for number, found in part["told"].items()}
         began = {int(number): self.since(when) for part in parts for number, when in part["began"].items()}
         known = {(layout.number(member), layout.number(dead)): self.gone[layout.number(dead)] + took / 1000
                  for part in parts for member, dead, took in part["known"]}
         counts, shaped = {}, {}
-        for part in parts:
+        for part in parts + self.reals.past:
             for total, here in ((counts, part["counts"]), (shaped, part["shaped"])):
                 for key, count in here.items():
                     total[key] = total.get(key, 0) + count
@@ -276,19 +334,30 @@
             "members": plan.members, "zones": plan.zones, "regions": plan.regions, "seconds": plan.seconds,
             "seed": plan.seed, "loss": plan.loss, "cut": plan.cut, "kill_zone": plan.kill_zone, "churn": plan.churn,
             "rate_of_time": plan.rate, "period_ms": plan.period, "patience_ms": plan.patience,
-            "servers_seen": plan.servers, "processes": len(parts) - 1, "zoned": layout.zoned,
+            "servers_seen": plan.servers, "processes": len(self.crews.workers) - 1, "zoned": layout.zoned,
             "start": "all known" if plan.known else "together",
             "one_way_ms": list(layout.ways) if plan.shaped else None, **self.found,
             "change_in_force_s": judge.spread(force["in_force"], 3), "changes": len(self.changes),
             "changes_late": force["late"], "changes_open": force["open"], "not_reached": len(force["lacked"]),
             "death_known_s": judge.spread(deaths, 3), "deaths": len(self.gone), "deaths_not_known": never,
             "largest_sum_of_shares": round(judge.largest_sum(
-                item for part in parts for item in part["shares"]), 6),
+                item for part in parts + self.reals.past for item in part["shares"]), 6),
             "views_right": views["right"], "views_wrong": views["wrong"][:5], "running": len(self.starts),
             "told_otherwise": counts.pop("told with another content", 0), "shaped": shaped, "counts": counts}
+        if plan.real:
+            found["real"] = {"members": plan.real, "running": len(self.reals.workers), **found["real"],
+                             **await self.real_judged(told, began)}
         found["breaches"] = list(self.breaches(found))
         return found
 
+    async def real_judged(self, told, began):
+        """The same as of all, of the real ones alone, and what became of sessions."""
+        real = {number: start for number, start in began.items() if number in self.reals.numbers}
+        force = judge.changes_in_force(self.changes, told, real, self.cut, self.now(), WITHIN)
+        return {"change_in_force_s": judge.spread(force["in_force"], 3), "not_reached": len(force["lacked"]),
+                "processes_started": sum(map(len, self.reals.starts.values())),
+                **await self.reals.judged(self.changes, self.since, self.cut, WITHIN)}
+
     def breaches(self, found):
         if found["late_ms"] > self.plan.patience * self.plan.rate:
             yield f"the machine was too busy: alarms were {found['late_ms']:.0f} ms late at rest"
@@ -307,11 +376,28 @@
         faults = [key for key in found["counts"] if key.startswith("fault")]
         if faults:
             yield f"faults in the program: {faults}"
+        yield from self.session_breaches(found.get("real"))
         if self.plan.faults and self.region is not None and not found["shaped"].get("datagrams cut off"):
             yield "fault without effect: the cut stopped nothing"
         if self.plan.loss and self.plan.shaped and not found["shaped"].get("datagrams lost"):
             yield "fault without effect: nothing was lost"
 
+    def session_breaches(self, real):
+        if not real or not self.plan.sessions:
+            return
+        ways = real["sessions"]
+        if real["opened_anew"]:
+            yield f"{real['opened_anew']} sessions were opened at a server {WITHIN + GRACE:g} s after its drain"
+        for how in ("broken", "failed", "answered out of order"):
+            if ways.get(how):
+                yield f"{ways[how]} sessions at real proxies that ran: {how}"
+        if not real["fewest_up_at_one"]:
+            yield "a real proxy had no session"
+        if real["faults"]:
+            yield f"faults of the stand-ins: {real['faults']}"
+        if self.plan.faults and real["never_in_use"]:
+            yield f"fault without effect: no session had been at {', '.join(real['never_in_use'])} before its drain"
+
 
 def play(plan, say=lambda text: None):
     """The object that `--json` keeps. Raises Misconfigured."""
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -97,16 +97,46 @@
     all members would not fit this machine."""
 
     def __init__(self, layout):
-        self.layout = layout
+        from wheathill.peers.links import Peer
+        self.layout, self.peer = layout, Peer
 
     def get(self, address, default=None):
         if address not in self:
             number = self.layout.number_at(address.rpartition(":")[0])
-            self[address] = Peer(address)
+            self[address] = self.peer(address)
             self[address].birth = self.layout.birth(number, 1)
         return self[address]
 
 
+def acquaint(peers, layout, number, numbers, full):
+    """The instance of member `number`, not yet started, knows all of `numbers`; `full`: as `Hollow.start`."""
+    log, now = peers.log_event, peers.clock.now()
+    peers.look = peers.log_event = lambda *_, **__: None
+    others = [other for other in numbers if other != number and (
+        not layout.zoned or layout.zone(other) == layout.zone(number))]
+    for other in others:
+        peers.membership.hear(now, [["alive", layout.name(other), layout.address(other), 0,
+                                     layout.birth(other, 1), layout.name(other)]])
+    del peers.look
+    peers.links.peers = Acquainted(layout)
+    if full:
+        for other in others:
+            peers.links.peer(layout.address(other))
+            peers.links.allowed(layout.address(other))
+            peers.seal.take(layout.name(other), layout.birth(other, 1), 0)
+    peers.log_event = log
+    peers.membership.rumours.told.clear()
+    # It asks nobody: at a start of all, answers of whole states would still be on their way when it is measured.
+    peers.told = replace(peers.told, seeds=())
+    peers.membership.joined = True
+    peers.membership.sync_wait = peers.membership.sync_every
+    peers.facts.old = True
+    peers.facts.ended.clear()
+    digest = peers.facts.digest()
+    for known in peers.facts.there.values():
+        known.old, known.digest = True, digest
+
+
 class Hollow:
     """One name; `peers` is the process that runs under it now, or None."""
 
@@ -140,31 +170,7 @@
 
     def know(self, numbers, full):
         """As long after a start: views, births and agreement are there."""
-        peers, layout, now = self.peers, self.crew.layout, self.clock.now()
-        peers.look = peers.log_event = lambda *_, **__: None
-        others = [number for number in numbers if number != self.number and (
-            not layout.zoned or layout.zone(number) == layout.zone(self.number))]
-        for number in others:
-            peers.membership.hear(now, [["alive", layout.name(number), layout.address(number), 0,
-                                         layout.birth(number, 1), layout.name(number)]])
-        del peers.look
-        peers.links.peers = Acquainted(layout)
-        if full:
-            for number in others:
-                peers.links.peer(layout.address(number))
-                peers.links.allowed(layout.address(number))
-                peers.seal.take(layout.name(number), layout.birth(number, 1), 0)
-        peers.log_event = self.log
-        peers.membership.rumours.told.clear()
-        # It asks nobody: at a start of all, answers of whole states would still be on their way when it is measured.
-        peers.told = replace(peers.told, seeds=())
-        peers.membership.joined = True
-        peers.membership.sync_wait = peers.membership.sync_every
-        peers.facts.old = True
-        peers.facts.ended.clear()
-        digest = peers.facts.digest()
-        for known in peers.facts.there.values():
-            known.old, known.digest = True, digest
+        acquaint(self.peers, self.crew.layout, self.number, numbers, full)
 
     def kill(self):
         """As SIGKILL: nothing is said, its sockets close, what asks for its address is refused."""
@@ -242,9 +248,7 @@
         self.empty = resident_mb()
         if numbers:
             # A process without members stands for a proxy without peers, and has none of this.
-            global Peer
             import wheathill.peers.instance         # noqa: F401
-            from wheathill.peers.links import Peer
             self.members = {number: Hollow(self, number) for number in numbers}
 
     def log(self, event, **fields):
@@ -353,11 +357,11 @@
         return operator.read(file.name)
 
 
-async def serve():
+async def serve(make):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: crew.log(
         "fault", what=repr(context.get("exception") or context["message"])))
-    crew = Crew(loop)
+    crew = make(loop)
     crew.watch(loop.time())
     over = asyncio.Event()
     rest = bytearray()
@@ -385,10 +389,11 @@
         data = data[os.write(1, data):]
 
 
-def main():
+def main(make=Crew):
+    """Carries out what it is told until its standard input ends; `make(loop)`: whatever has `call`, `log` and `watch`."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    asyncio.run(serve())
+    asyncio.run(serve(make))
 
 
 if __name__ == "__main__":
--- a/wheathill/lab/scale/honest.py
+++ b/wheathill/lab/scale/honest.py
@@ -14,8 +14,9 @@
 from wheathill.config import Misconfigured
 from wheathill.lab.scale import fleet
 from wheathill.lab.scale.layout import Layout, free_net
+from wheathill.lab.scale.member import operators_file
 from wheathill.lab.scale.memory import resident_mb
-from wheathill.lab.worlds.processes import dies_with_the_lab, toml
+from wheathill.lab.worlds.processes import dies_with_the_lab
 from wheathill.peers.show import ask
 
 BASES = 4               # real ones without peers
@@ -30,14 +31,10 @@
 
     def __init__(self, folder, name, meant, told, key_path):
         self.control = os.path.join(folder, f"{name}.control")
-        values = {"name": name, "listen": f"127.0.0.1:{free_port()}", "listener": [{"name": "all"}],
-                  "server": [{"name": "s", "address": "127.0.0.1:1"}], "seed": name, "fleet": {"proxies": meant}}
-        if told:
-            values["peers"] = {"cluster": told.cluster, "listen": "%s:%d" % told.listen, "seeds": list(told.seeds),
-                               "key_file": key_path, "control": self.control}
         path = os.path.join(folder, f"{name}.toml")
         with open(path, "w") as out:
-            out.write("\n".join(toml(values)) + "\n")
+            out.write(operators_file(name, f"127.0.0.1:{free_port()}", [{"name": "all"}], [("s", "127.0.0.1:1", "ready")],
+                                     meant, told, key_path, self.control))
         self.process = subprocess.Popen([sys.executable, "-m", "wheathill.lab.scale.memory", "daemon", path],
                                         stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
                                         preexec_fn=dies_with_the_lab,
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -80,3 +80,24 @@
             parted = cut.parts(member, dead) and cut.began <= found and when < cut.ended <= found
             took.append(max(0.0, found - (cut.ended if parted else when)))
     return took, never
+
+
+def opened_anew(opens, changes, starts, cut, within):
+    """Of sessions that servers were asked for: how many came to a drained one later than `within` after their proxy could
+    have had the drain, and whether each drained server had had some before.
+
+    `opens`: [(server, proxy, when)]; `changes` as above; `starts`: {proxy: starts of its processes, in order}."""
+    late, before = [], dict.fromkeys(changes, 0)
+    for server, proxy, when in opens:
+        if server not in changes:
+            continue
+        issuer, issued = changes[server]
+        if when < issued:
+            before[server] += 1
+            continue
+        began = max((start for start in starts[proxy] if start <= when), default=0.0)
+        since = max(cut.since(issuer, proxy, issued), began)
+        if when > since + within:
+            late.append([server, proxy, round(when - since, 2)])
+    return {"opened_anew": len(late), "opened_anew_first": late[:5],
+            "never_in_use": [server for server, count in before.items() if not count]}
--- a/wheathill/lab/scale/layout.py
+++ b/wheathill/lab/scale/layout.py
@@ -62,6 +62,14 @@
     def address(self, number):
         return f"{self.host(number)}:{PORT}"
 
+    def door(self, number):
+        """Where a real one takes clients."""
+        return self.host(number), PORT + 1
+
+    def stands(self):
+        """The host of stand-in servers, which is no member's."""
+        return f"127.{self.net}.254.1"
+
     def birth(self, number, start):
         """No two processes have one; `start` counts those under this name."""
         return birth(self.seed, number, start)
--- /dev/null
+++ b/wheathill/lab/scale/visits.py
@@ -0,0 +1,191 @@
+"""Stand-ins at both ends of the real proxies of a fleet under test: servers that note who opens a session, and visitors
+that open one after another at each proxy, exchange lines for a while and go.
+
+`python -m wheathill.lab.scale.visits` takes orders as a process of hollow proxies does. Load is open: a visit begins
+when it is due, however the ones before it fare. All times noted are the fleet's.
+"""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+from wheathill.lab.scale.hollow import StretchedClock, main
+from wheathill.lab.worlds.host import raise_fault
+from wheathill.net.driver import Carrier
+from wheathill.net.lines import END
+from wheathill.net.machine import Machine
+
+LIMITS = SimpleNamespace(line=8192, read=65536, sockets=1_000_000, spare_sockets=0, backlog=1024, accepts=64,
+                         accept_pause=10.0, keep_alive=600_000.0, linger=1000.0, buffer=65536)
+
+
+class Served(Machine):
+    """A proxy's connection to the server `name`."""
+
+    def __init__(self, door, name, wire):
+        super().__init__(door, LIMITS, door.clock)
+        self.name, self.wire = name, wire
+        self.proxy = None       # number of the one whose session it is, once it is open
+
+    def received(self, data):
+        self.lines.feed(data)
+        while (line := self.lines.next()) is not None:
+            if self.proxy is not None:
+                self.wire.send(line, END)
+            elif line.startswith(b"OPEN "):
+                session = line.split(b" ")[1]
+                self.proxy = int(session.partition(b"-")[0])
+                self.door.opens.append((self.name, self.proxy, self.clock.now()))
+                self.door.open_at[self] = None
+                self.wire.send(b"UP r", session, END)
+            else:
+                self.wire.send(b"PONG util=0.3", END)
+
+    def ended(self):
+        self.lost(False)
+        self.wire.abort()
+
+    def lost(self, reset):
+        self.door.open_at.pop(self, None)
+
+    def fault(self):
+        self.lost(True)
+        self.wire.abort()
+
+
+class Visit(Machine):
+    """One session: opened, a line each `EVERY`, each answered in order, closed after `LASTS`."""
+
+    EVERY, LASTS, PATIENCE = 500.0, 8000.0, 5000.0      # ms
+
+    def __init__(self, door, proxy, number, ends):
+        super().__init__(door, LIMITS, door.clock)
+        self.proxy, self.number, self.ends = proxy, number, ends
+        self.began = self.clock.now()
+        self.up = self.over = False
+        self.said = self.heard = 0
+        self.wire = door.carrier.connect(self, door.proxies[proxy])
+
+    def connected(self):
+        self.wire.send(b"OPEN %d-%d k%d-%d c=all,d=%d" % (
+            self.proxy, self.number, self.proxy, self.number, self.PATIENCE), END)
+
+    def received(self, data):
+        self.lines.feed(data)
+        while not self.over and (line := self.lines.next()) is not None:
+            word, _, rest = line.partition(b" ")
+            if self.up:
+                if word == b"MOVE":
+                    # At once again, by the proxy's word: to another server.
+                    self.end("moved")
+                    self.door.visit(self.proxy, self.ends)
+                elif line != b"line %d" % self.heard:
+                    self.end("answered out of order")
+                else:
+                    self.heard += 1
+                    self.door.lines += 1
+            elif word == b"UP":
+                self.up = True
+                self.door.took.append(self.clock.now() - self.began)
+                self.door.count(self.proxy, "up")
+                self.say()
+            else:
+                self.end("refused" if word == b"BUSY" else "failed")
+
+    def say(self):
+        if self.clock.now() >= self.ends:
+            return self.end("ended")
+        self.wire.send(b"line %d" % self.said, END)
+        self.said += 1
+        self.set_timer(self.EVERY, self.say)
+
+    def end(self, how):
+        if not self.over:
+            self.over = True
+            self.timer.cancel()
+            self.door.over(self, how)
+            self.wire.abort()
+
+    def ended(self):
+        self.lost(False)
+
+    def lost(self, reset):
+        # Its proxy may have been killed: whoever killed it said so before.
+        self.end("died with its proxy" if self.proxy in self.door.down else "broken" if self.up else "failed")
+
+    def fault(self):
+        self.end("broken")
+
+
+class Visits:
+    """Of this process: all servers and all visitors."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.counts = Counter()         # faults of this process
+        self.late = 0.0
+        self.proxies, self.down = {}, {}
+        self.opens = []                 # (server, proxy, when) of each session that a server was asked for
+        self.open_at = {}               # connections that carry one
+        self.visits = {}                # that are not over
+        self.by_proxy = {}              # number -> how its visits went
+        self.took, self.lines, self.last = [], 0, 0
+
+    def call(self, order):
+        return getattr(self, "do_" + order.pop("do"))(**order)
+
+    def log(self, event, **fields):
+        self.counts[f"{event} {fields.get('what', '')}"] += 1
+
+    def watch(self, due):
+        pass        # late answers here are late for visitors only
+
+    def do_build(self, rate, servers, host, seed):
+        """Returns "HOST:PORT" of each server."""
+        self.clock = StretchedClock(self.loop, rate)
+        self.carrier = Carrier(self.loop, LIMITS, raise_fault)
+        self.random = random.Random(f"{seed}/visits").random
+        doors = [self.carrier.listen(lambda wire, name=name: Served(self, name, wire), (host, 0), lambda: True)
+                 for name in servers]
+        return ["%s:%d" % door.sock.getsockname() for door in doors]
+
+    def do_begin(self, proxies, sessions):
+        """`sessions` a second at each of `proxies`: {number: (host, port)}."""
+        self.gap = 1000.0 / sessions
+        for number, where in proxies.items():
+            self.proxies[int(number)] = tuple(where)
+            self.clock.after(self.random() * self.gap, self.due, int(number))
+
+    def due(self, proxy):
+        self.clock.after(self.gap, self.due, proxy)
+        if proxy not in self.down:
+            self.visit(proxy, self.clock.now() + Visit.LASTS)
+
+    def visit(self, proxy, ends):
+        self.last += 1
+        visit = Visit(self, proxy, self.last, ends)
+        self.visits[visit] = None
+
+    def over(self, visit, how):
+        self.visits.pop(visit, None)
+        self.count(visit.proxy, how)
+
+    def count(self, proxy, how):
+        self.by_proxy.setdefault(proxy, Counter())[how] += 1
+
+    def do_down(self, numbers):
+        """They are about to be killed: nobody comes until they are up."""
+        self.down.update(dict.fromkeys(numbers))
+
+    def do_up(self, numbers):
+        for number in numbers:
+            self.down.pop(number, None)
+
+    def do_judged(self):
+        still = Counter(served.name for served in self.open_at)
+        return {"opens": self.opens, "took_ms": self.took, "lines": self.lines, "still": still,
+                "by_proxy": self.by_proxy, "open": len(self.visits), "counts": self.counts}
+
+
+if __name__ == "__main__":
+    main(Visits)
