lab scale fleet: a release in tenths, a rack that dies, a way cut in one direction

--release SECONDS restarts whoever runs once after the faults, a tenth at a time; the next tenth when all views are right, or after that.

--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -113,6 +113,38 @@
     assert ways["died with its proxy"] > 5
 
 
+@pytest.fixture(scope="module")
+def released():
+    """Sixty members, six of them real: two of a zone die at once, what leaves a region is lost for a while, and then each is
+    restarted, a tenth at a time: (exit code, object, what was said)."""
+    done = subprocess.run(command("--members", 60, "--real", 6, "--zones", 6, "--regions", 3, "--seconds", 20, "--loss", 0.01,
+                                  "--cut-out", "r2", "--rack", "z1", "--deaths", 0, "--release", 8, "--seed", 6,
+                                  "--processes", 4),
+                          capture_output=True, text=True, timeout=240)
+    return done.returncode, json.loads(done.stdout), done.stderr
+
+
+def test_a_release_in_tenths_restarts_each_once(released):
+    code, found, said = released
+    assert code == 0 and found["breaches"] == [], said
+    release = found["release"]
+    assert release["tenths"] == 10 and release["restarted"] == found["restarts"] == found["views_right"] == 58
+    assert release["waited_out"] <= 2 and fleet.RELEASED < release["right_after_s"]["p50"] < 6.0
+    # By pencil 7 KB/s and twice that at a seed (docs/CAPACITY.md).
+    assert 2000 < release["bytes_per_s_middle"]["mean"] < 9000 < release["bytes_per_s_most"] + 4000 < 24_000
+    assert found["changes"] == 3 and found["not_reached"] == 0 and found["largest_sum_of_shares"] == 1.0
+    assert found["real"]["processes_started"] == 12 - (6 - found["real"]["running"])
+    assert found["real"]["opened_anew"] == 0 and "broken" not in found["real"]["sessions"]
+
+
+def test_a_rack_is_known_to_be_dead_and_a_way_cut_in_one_direction_stops_news_in_that_alone(released):
+    _, found, _ = released
+    # Those that had seen it were all restarted after: it was judged before.
+    assert found["deaths"] == 2 and found["deaths_not_known"] == 0 and 0 < found["death_known_s"]["max"] < 8.0
+    assert found["cut_out"] == "r2" and found["shaped"]["datagrams cut off"] > 10
+    assert found["changes_late"] == 0
+
+
 def test_what_real_proxies_are_told_is_what_hollow_ones_are(tmp_path):
     told = Layout(40, 4, 2, 1, 1, 1000.0, 300.0, 0, 1, True)
     (tmp_path / "key").write_bytes(told.told(0).key)
@@ -166,7 +198,9 @@
 
 @pytest.mark.parametrize("more, said", [
     (("--cut", "r9"), "--cut: 'r9' is none of r1 to r2"), (("--kill-zone", "x"), "--kill-zone: 'x' is none of z1 to z3"),
-    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss"), (("--real", "9"), "--real: must be")])
+    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss"), (("--real", "9"), "--real: must be"),
+    (("--cut-out", "r9"), "--cut-out: 'r9' is none"), (("--rack", "z9"), "--rack: 'z9' is none"),
+    (("--cut", "r1", "--cut-out", "r2"), "--cut-out: there is one cut")])
 def test_bad_options_name_themselves(more, said):
     done = subprocess.run(command("--members", 9, "--zones", 3, "--regions", 2, "--seconds", 5, *more),
                           capture_output=True, text=True, timeout=60)
@@ -197,6 +231,12 @@
     assert found["lacked"] == [3] and found["late"] == 1 and found["open"] == 1
 
 
+def test_news_into_a_region_from_which_nothing_leaves_has_no_excuse():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0, out=True)
+    assert cut.since(0, 1, 12.0) == 12.0 and cut.since(1, 0, 12.0) == 30.0 and cut.since(1, 4, 12.0) == 12.0
+    assert cut.since(1, 0, 31.0) == 31.0
+
+
 def test_a_death_across_a_cut_is_known_once_the_cut_is_over():
     cut = judge.Cut(layout(), 1, 10.0, 30.0)
     known = {(0, 2): 12.5, (1, 2): 34.0, (4, 2): 11.0}
@@ -327,6 +367,22 @@
     between(test)
 
 
+def test_across_a_way_cut_in_one_direction_only_datagrams_arrive_the_other_way():
+    async def test(two):
+        here, there = two.one.datagrams(two.ends[1], two.layout.where(0)), two.other.datagrams(two.ends[2], two.layout.where(1))
+        two.shape.set_cut(1, out=True)
+        here.send(b"in", two.layout.where(1))
+        there.send(b"out", two.layout.where(0))
+        connect(two, two.ends[0])
+        await asyncio.sleep(0.5)
+        assert [data for _, data in two.ends[2].came] == [b"in"] and not two.ends[1].came
+        assert not two.ends[0].up.done() and not two.ends[0].over.done()
+        assert two.shape.counts["datagrams cut off"] == two.shape.counts["connection attempts cut off"] == 1
+        here.close()
+        there.close()
+    between(test)
+
+
 def test_a_stream_across_a_cut_holds_what_is_on_it_and_keeps_its_order():
     async def test(two):
         one, far = two.ends[0], two.ends[1]
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -23,6 +23,10 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--kill-zone", metavar="ZONE", help="z1, z2, ...: all its processes die at once")
+@click.option("--cut-out", metavar="REGION", help="as --cut, but only what leaves it is lost: a way cut in one direction")
+@click.option("--rack", metavar="ZONE", help="z1, z2, ...: a twentieth of it, two at the least, dies at once")
+@click.option("--release", type=click.FloatRange(0.0), metavar="SECONDS",
+              help="each is restarted once after the faults, a tenth at a time; the next when views are right, or after that")
 @click.option("--deaths", type=click.IntRange(0), default=1, show_default=True, help="single processes that die for good")
 @click.option("--churn", type=click.IntRange(0), default=0, show_default=True, help="processes restarted during the faults")
 @click.option("--changes", type=click.IntRange(0, 100), default=3, show_default=True, help="issued at one member")
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import json
 import os
 import random
 import time
@@ -18,7 +17,10 @@
 from wheathill.lab.scale.reals import numbers as real_numbers
 
 WITHIN = 6.0            # s for a change to be in force, and for a death to be known
+RACK = 20               # one in so many of a zone
+TENTHS = 10             # of a release
 BACK = 2.0              # s until a process that was restarted is there again
+RELEASED = 1.0          # the same where a release restarts it
 ROUNDING = 1e-6
 
 
@@ -33,7 +35,9 @@
     seed: int = 1
     loss: float = 0.0
     cut: str | None = None
+    cut_out: str | None = None
     kill_zone: str | None = None
+    rack: str | None = None
     deaths: int = 1
     churn: int = 0
     changes: int = 3
@@ -51,6 +55,7 @@
     sockets: int = 1024
     real: int = 0           # of the members
     sessions: float = 2.0   # a second at each real one
+    release: float | None = None    # s that a tenth is waited for at the most
 
 
 class Fleet:
@@ -64,8 +69,16 @@
         ways = (1.0, 5.0, 80.0, 200.0) if plan.one_way else Layout.ways
         self.layout = Layout(plan.members, plan.zones, plan.regions, net, plan.seed, plan.period, plan.patience,
                              plan.servers, plan.changes, plan.zones > 1 if plan.zoned is None else plan.zoned, ways)
-        self.region = None if plan.cut is None else region_of(plan.cut, self.layout)
-        self.zone = None if plan.kill_zone is None else zone_of(plan.kill_zone, self.layout)
+        if plan.cut is not None and plan.cut_out is not None:
+            raise Misconfigured("--cut-out: there is one cut at a time, and --cut asks for another")
+        self.out = plan.cut_out is not None
+        self.region = self.zone = self.rack = None
+        if plan.cut is not None or self.out:
+            self.region = region_of(plan.cut_out if self.out else plan.cut, self.layout, "--cut-out" if self.out else "--cut")
+        if plan.kill_zone is not None:
+            self.zone = zone_of(plan.kill_zone, self.layout)
+        if plan.rack is not None:
+            self.rack = zone_of(plan.rack, self.layout, "--rack")
         self.rng = random.Random(f"{plan.seed}/faults")
         processes = plan.processes or min(os.cpu_count() or 1, -(-plan.members // 8))
         real = real_numbers(plan.members, plan.zones, plan.real)
@@ -73,7 +86,10 @@
         self.reals = Reals(self.layout, real, plan.sessions)
         self.starts = {number: 1 for number in range(plan.members)}     # of those that run
         self.gone, self.changes = {}, {}
+        self.spared = self.issuer = None        # told of changes, so not killed but by a release
         self.cut = judge.Cut(self.layout, None, 0.0, 0.0)
+        self.shown = []         # what `judge_now` found: before a release, which ends all that ran, and at the end
+        self.settled = 0.0      # all that was done has had its time by then
         self.found = {}
 
     # Time
@@ -121,7 +137,9 @@
             await self.rest()
             if plan.faults:
                 await self.faults()
-                await self.until(plan.seconds)
+                if plan.release is not None:
+                    await self.release()
+                await self.until(max(plan.seconds, self.settled))
             return await self.judged()
         finally:
             await self.crews.end()
@@ -228,6 +246,7 @@
             self.zone is None or self.layout.zone(number) != self.zone)]
         self.rng.shuffle(real)
         issuer = real.pop() if real else spared
+        self.spared, self.issuer = spared, issuer
         others = [number for number in others if number != issuer]
         deaths = [number for number in deaths if number != issuer]
         if real and deaths:
@@ -236,13 +255,17 @@
         if self.zone is not None:
             planned.append((first + 0.04 * each, self.kill, [
                 number for number in others if self.layout.zone(number) == self.zone]))
+        if self.rack is not None:
+            # Those that die are there until then.
+            near = [number for number in others if self.layout.zone(number) == self.rack]
+            planned.append((first + 0.01 * each, self.kill, self.rng.sample(near, max(2, -(-len(near) // RACK)))))
         if self.region is not None:
             # Long enough in a minute for both sides to hold each other for dead.
             planned += [(first + 0.03 * each, self.set_cut, True), (first + 0.28 * each, self.set_cut, False)]
         for turn in range(plan.churn):
             when, number = first + self.rng.uniform(0.0, 0.25) * each, self.rng.choice(others)
             planned.append((when, self.restart, real.pop() if real and turn % 2 == 0 else number))
-        for change in range(plan.changes):
+        for change in range(plan.changes - (plan.release is not None)):
             # At first, amid what goes wrong, and after it.
             when = first + 0.30 * each * change / max(1, plan.changes - 1)
             number = issuer if change == plan.changes - 1 else spared
@@ -255,12 +278,17 @@
                 planned.append((self.now() + BACK, *back))
         self.found["last_fault_s"] = round(self.now(), 2)
         self.found["views_right_s"] = None
-        while self.now() < each:
+        if right := await self.until_right(each):
+            self.found["views_right_s"] = round(right - self.found["last_fault_s"], 2)
+
+    async def until_right(self, end):
+        """When all views are found right; None where they are not by then."""
+        while self.now() < end:
             views = await self.views()
             if views["right"] == len(self.starts):
-                self.found["views_right_s"] = round(self.now() - self.found["last_fault_s"], 2)
-                break
-            await self.until(self.now() + max(0.5, plan.members / 200))
+                return self.now()
+            await self.until(min(end, self.now() + max(0.5, self.plan.members / 200)))
+        return None
 
     async def kill(self, numbers):
         numbers = [number for number in numbers if number in self.starts]
@@ -280,25 +308,70 @@
         if number in self.starts:
             await self.stop([number])
             start = self.starts.pop(number)
-            return self.come_back, (number, start + 1)
+            return self.come_back, {number: start + 1}
 
-    async def come_back(self, told):
-        number, start = told
-        if self.owner(number) is self.reals:
-            await self.reals.come_back(number, start)
-        else:
-            await self.crews.each("start", [number])
-        self.starts[number] = start
-        self.found["restarts"] = self.found.get("restarts", 0) + 1
+    async def come_back(self, starts):
+        """`starts`: how many processes have run under each name, the new one with them."""
+        hollow = [number for number in starts if self.owner(number) is self.crews]
+        await asyncio.gather(self.crews.each("start", hollow), *(
+            self.reals.come_back(number, start) for number, start in starts.items() if number not in hollow))
+        self.starts |= starts
+        self.found["restarts"] = self.found.get("restarts", 0) + len(starts)
 
     async def set_cut(self, on):
         region = self.region if on else None
-        told = self.since(max(await self.crews.all("cut", region=region) + await self.reals.cut(region)))
+        told = self.since(max(await self.crews.all("cut", region=region, out=self.out)
+                              + await self.reals.cut(region, self.out)))
         if on:
-            self.cut = judge.Cut(self.layout, self.region, told, float("inf"))
+            self.cut = judge.Cut(self.layout, self.region, told, float("inf"), self.out)
         else:
             self.cut.ended = told
-        self.say(f"{told:.1f} s: {self.plan.cut} is {'cut off' if on else 'back'}")
+        self.say(f"{told:.1f} s: r{self.region + 1} is {'cut off' if on else 'back'}")
+
+    async def release(self):
+        """Each that runs is restarted once, a tenth at a time; the next tenth when all views are right, or after the stated
+        time. The last change is told amid it, to one that comes last."""
+        await self.judge_now()
+        last = [number for number in dict.fromkeys((self.spared, self.issuer)) if number in self.starts]
+        numbers = [number for number in self.starts if number not in last]
+        self.rng.shuffle(numbers)
+        numbers += last
+        share, found = -(-len(numbers) // TENTHS), []
+        for tenth in range(TENTHS):
+            part = numbers[tenth * share:(tenth + 1) * share]
+            if not part:
+                break
+            before = await self.every("figures")
+            began = self.now()
+            await self.stop(part)
+            back = {number: self.starts.pop(number) + 1 for number in part}
+            if tenth == TENTHS // 2 - 1 and self.plan.changes:
+                await self.change((self.issuer, self.plan.changes - 1))
+            await self.until(began + RELEASED)
+            await self.come_back(back)
+            right = await self.until_right(began + self.plan.release)
+            found.append({"members": len(part), "right_after_s": right and round(right - began, 2),
+                          "bytes_per_s": self.bytes_of(before, await self.every("figures"), part)})
+            self.say(f"{self.now():.1f} s: {len(part)} released, " + (
+                "all views right" if right else "not all views are right"))
+        self.settled = self.now() + WITHIN + 1.0
+        took = [each["right_after_s"] for each in found]
+        self.found["release"] = {
+            "tenths": len(found), "restarted": sum(each["members"] for each in found),
+            "waited_out": took.count(None), "right_after_s": judge.spread([each for each in took if each], 2),
+            "bytes_per_s_middle": judge.spread([each["bytes_per_s"]["p50"] for each in found], 1),
+            "bytes_per_s_most": max(each["bytes_per_s"]["max"] for each in found)}
+
+    def bytes_of(self, before, after, restarted):
+        """Bytes a second of those that ran all the while."""
+        old = {int(number): (found["now"], told) for found in before for number, told in found["members"].items()}
+        rates = []
+        for found in after:
+            for number, told in found["members"].items():
+                if int(number) in old and int(number) not in restarted:
+                    since, one = old[int(number)]
+                    rates.append((told[2] + told[3] - one[2] - one[3]) / (found["now"] - since) * 1000)
+        return judge.spread(rates, 1)
 
     async def change(self, told):
         number, change = told
@@ -312,52 +385,63 @@
 
     # What it showed
 
-    async def judged(self):
-        plan, layout, end = self.plan, self.layout, self.now()
-        views = await self.views()
+    async def judge_now(self):
+        """Changes and deaths, by those that run now; returns what all processes showed."""
+        layout, end = self.layout, self.now()
         parts = await self.every("judged")
         told = {int(number): {server: self.since(when) for server, when in found.items()}
                 for part in parts for number, found in part["told"].items()}
         began = {int(number): self.since(when) for part in parts for number, when in part["began"].items()}
         known = {(layout.number(member), layout.number(dead)): self.gone[layout.number(dead)] + took / 1000
                  for part in parts for member, dead, took in part["known"]}
+        real = {number: start for number, start in began.items() if number in self.reals.numbers}
+        took, never = judge.deaths_known(
+            known, self.gone, began, self.cut,
+            lambda one, other: not layout.zoned or layout.zone(one) == layout.zone(other))
+        self.shown.append({
+            "all": judge.changes_in_force(self.changes, told, began, self.cut, end, WITHIN),
+            "real": judge.changes_in_force(self.changes, told, real, self.cut, end, WITHIN),
+            "deaths": took, "never": never})
+        return parts
+
+    def force(self, of):
+        """Of all changes, `of` "all" or "real" ones."""
+        shown = [each[of] for each in self.shown]
+        return {"change_in_force_s": judge.spread([took for each in shown for took in each["in_force"]], 3),
+                "changes_late": sum(each["late"] for each in shown), "changes_open": sum(each["open"] for each in shown),
+                "not_reached": len(dict.fromkeys(number for each in shown for number in each["lacked"]))}
+
+    async def judged(self):
+        plan, layout = self.plan, self.layout
+        views = await self.views()
+        parts = await self.judge_now()
         counts, shaped = {}, {}
         for part in parts + self.reals.past:
             for total, here in ((counts, part["counts"]), (shaped, part["shaped"])):
                 for key, count in here.items():
                     total[key] = total.get(key, 0) + count
-        force = judge.changes_in_force(self.changes, told, began, self.cut, end, WITHIN)
-        deaths, never = judge.deaths_known(
-            known, self.gone, began, self.cut,
-            lambda one, other: not layout.zoned or layout.zone(one) == layout.zone(other))
         found = {
             "members": plan.members, "zones": plan.zones, "regions": plan.regions, "seconds": plan.seconds,
-            "seed": plan.seed, "loss": plan.loss, "cut": plan.cut, "kill_zone": plan.kill_zone, "churn": plan.churn,
+            "seed": plan.seed, "loss": plan.loss, "cut": plan.cut, "cut_out": plan.cut_out,
+            "kill_zone": plan.kill_zone, "rack": plan.rack, "churn": plan.churn,
             "rate_of_time": plan.rate, "period_ms": plan.period, "patience_ms": plan.patience,
             "servers_seen": plan.servers, "processes": len(self.crews.workers) - 1, "zoned": layout.zoned,
             "start": "all known" if plan.known else "together",
             "one_way_ms": list(layout.ways) if plan.shaped else None, **self.found,
-            "change_in_force_s": judge.spread(force["in_force"], 3), "changes": len(self.changes),
-            "changes_late": force["late"], "changes_open": force["open"], "not_reached": len(force["lacked"]),
-            "death_known_s": judge.spread(deaths, 3), "deaths": len(self.gone), "deaths_not_known": never,
+            **self.force("all"), "changes": len(self.changes),
+            "death_known_s": judge.spread([took for each in self.shown for took in each["deaths"]], 3),
+            "deaths": len(self.gone), "deaths_not_known": sum(each["never"] for each in self.shown),
             "largest_sum_of_shares": round(judge.largest_sum(
                 item for part in parts + self.reals.past for item in part["shares"]), 6),
             "views_right": views["right"], "views_wrong": views["wrong"][:5], "running": len(self.starts),
             "told_otherwise": counts.pop("told with another content", 0), "shaped": shaped, "counts": counts}
         if plan.real:
             found["real"] = {"members": plan.real, "running": len(self.reals.workers), **found["real"],
-                             **await self.real_judged(told, began)}
+                             **self.force("real"), "processes_started": sum(map(len, self.reals.starts.values())),
+                             **await self.reals.judged(self.changes, self.since, self.cut, WITHIN)}
         found["breaches"] = list(self.breaches(found))
         return found
 
-    async def real_judged(self, told, began):
-        """The same as of all, of the real ones alone, and what became of sessions."""
-        real = {number: start for number, start in began.items() if number in self.reals.numbers}
-        force = judge.changes_in_force(self.changes, told, real, self.cut, self.now(), WITHIN)
-        return {"change_in_force_s": judge.spread(force["in_force"], 3), "not_reached": len(force["lacked"]),
-                "processes_started": sum(map(len, self.reals.starts.values())),
-                **await self.reals.judged(self.changes, self.since, self.cut, WITHIN)}
-
     def breaches(self, found):
         if found["late_ms"] > self.plan.patience * self.plan.rate:
             yield f"the machine was too busy: alarms were {found['late_ms']:.0f} ms late at rest"
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -272,8 +272,8 @@
         self.gone.update(dict.fromkeys(names, now))
         return now
 
-    def do_cut(self, region):
-        self.shape.set_cut(region)
+    def do_cut(self, region, out=False):
+        self.shape.set_cut(region, out)
         return self.clock.now()
 
     def do_change(self, number, change):
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -28,10 +28,10 @@
 
 
 class Cut:
-    """One region from `began` to `ended`, or none."""
+    """One region from `began` to `ended`, or none. `out`: only what leaves it is lost."""
 
-    def __init__(self, layout, region, began, ended):
-        self.layout, self.region, self.began, self.ended = layout, region, began, ended
+    def __init__(self, layout, region, began, ended, out=False):
+        self.layout, self.region, self.began, self.ended, self.out = layout, region, began, ended, out
 
     def parts(self, one, other):
         return self.region is not None and \
@@ -39,7 +39,8 @@
 
     def since(self, one, other, when):
         """From when on `other` can have heard what `one` said first at `when`."""
-        return self.ended if self.parts(one, other) and self.began <= when < self.ended else when
+        silent = self.parts(one, other) and (not self.out or self.layout.region(one) == self.region)
+        return self.ended if silent and self.began <= when < self.ended else when
 
 
 def changes_in_force(changes, told, began, cut, end, within):
--- a/wheathill/lab/scale/layout.py
+++ b/wheathill/lab/scale/layout.py
@@ -107,19 +107,19 @@
         return found
 
 
-def region_of(text, layout):
+def region_of(text, layout, option="--cut"):
     """The number of region `rN`; raises Misconfigured."""
     for region in range(layout.regions):
         if text == f"r{region + 1}":
             return region
-    raise Misconfigured(f"--cut: {text!r} is none of r1 to r{layout.regions}")
+    raise Misconfigured(f"{option}: {text!r} is none of r1 to r{layout.regions}")
 
 
-def zone_of(text, layout):
+def zone_of(text, layout, option="--kill-zone"):
     for zone in range(layout.zones):
         if text == f"z{zone + 1}":
             return zone
-    raise Misconfigured(f"--kill-zone: {text!r} is none of z1 to z{layout.zones}")
+    raise Misconfigured(f"{option}: {text!r} is none of z1 to z{layout.zones}")
 
 
 def free_net(first):
--- a/wheathill/lab/scale/member.py
+++ b/wheathill/lab/scale/member.py
@@ -77,7 +77,7 @@
 class Process(Crew):
     """The crew of one."""
 
-    def do_build(self, layout, number, rate, loss, shaped, region, path, key_path, sockets, servers):
+    def do_build(self, layout, number, rate, loss, shaped, region, out, path, key_path, sockets, servers):
         layout["ways"] = tuple(layout["ways"])
         self.layout = Layout(**layout)
         self.clock = StretchedClock(self.loop, rate)
@@ -85,7 +85,7 @@
         self.random = rng.random
         self.shape = Shape(self.layout, self.clock, rng, loss) if shaped else None
         if region is not None:
-            self.shape.set_cut(region)
+            self.shape.set_cut(region, out)
         self.path, self.key_path, self.sockets, self.servers = path, key_path, sockets, servers
         self.members = {number: Member(self, number)}
         self.write()
--- a/wheathill/lab/scale/reals.py
+++ b/wheathill/lab/scale/reals.py
@@ -27,7 +27,7 @@
         self.past = []          # what those that were killed had shown
         self.starts = {}        # number -> when each of its processes started, the fleet's ms
         self.visits = None
-        self.region = None
+        self.region, self.out = None, False
         self.folder = None
 
     async def begin(self, rate, loss, shaped, sockets):
@@ -51,7 +51,7 @@
         folder = os.path.join(self.folder.name, self.layout.name(number))
         os.makedirs(folder, exist_ok=True)
         worker = self.workers[number] = await begin("member", TMPDIR=folder)
-        await ask(worker, {"do": "build", "number": number, "region": self.region, "servers": self.servers,
+        await ask(worker, {"do": "build", "number": number, "region": self.region, "out": self.out, "servers": self.servers,
                            "path": os.path.join(folder, "file.toml"), **self.told})
 
     async def all(self, do, **order):
@@ -74,9 +74,9 @@
             await ask(self.visits, {"do": "begin", "sessions": self.sessions, "proxies": {
                 number: self.layout.door(number) for number in self.workers}})
 
-    async def cut(self, region):
-        self.region = region
-        return await self.all("cut", region=region)
+    async def cut(self, region, out):
+        self.region, self.out = region, out
+        return await self.all("cut", region=region, out=out)
 
     async def kill(self, numbers):
         """By SIGKILL; the system closes what they have open."""
--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -1,7 +1,8 @@
 """Delays, losses and cuts between members, put between their control part and the real sockets.
 
 Datagrams are shaped where they are sent; streams by the side that opens them, both ways. Modelled, as no kernel does it
-on loopback: a lost datagram is gone; a connection's first segment, or its answer, that is lost or cut off goes again after
+on loopback: a lost datagram is gone; across a cut one way only datagrams arrive the other way, and nothing else, as all
+else needs answers; a connection's first segment, or its answer, that is lost or cut off goes again after
 1 s, 2 s, 4 s, so that nobody answers meanwhile and nobody refuses; a lost segment of a stream (1,400 bytes) comes after
 200 ms, doubled each time, and all that follows it waits; a stream across a cut holds what is on it until the cut is over.
 Everything that was done to a message is counted.
@@ -23,7 +24,7 @@
     def __init__(self, layout, clock, rng, loss, prompt=False):
         self.layout, self.clock, self.random, self.loss = layout, clock, rng.random, loss
         self.prompt = prompt
-        self.cut = None
+        self.cut, self.out = None, False
         self.counts = Counter()
         self.distance = layout.distance()
         self.ticks = {}         # ms -> what is to be called then: one alarm for all of them
@@ -32,6 +33,10 @@
     def cuts(self, one, other):
         return self.cut is not None and (self.layout.region(one) == self.cut) != (self.layout.region(other) == self.cut)
 
+    def loses(self, one, other):
+        """Whether the cut takes a datagram of one to the other."""
+        return self.cuts(one, other) and (not self.out or self.layout.region(one) == self.cut)
+
     def wait(self, one, other):
         """ms for this message from one to the other."""
         if self.prompt:
@@ -54,8 +59,9 @@
         for call, args in self.ticks.pop(tick):
             call(*args)
 
-    def set_cut(self, region):
-        self.cut = region
+    def set_cut(self, region, out=False):
+        """`out`: only what leaves the region is lost."""
+        self.cut, self.out = region, out
         if region is None:
             held, self.held = self.held, []
             for wire, args in held:
@@ -103,7 +109,7 @@
 
     def send(self, data, address):
         shape, one, other = self.shape, self.carrier.number, self.shape.layout.number_at(address[0])
-        if shape.cuts(one, other):
+        if shape.loses(one, other):
             shape.counts["datagrams cut off"] += 1
         elif shape.loss and shape.random() < shape.loss:
             shape.counts["datagrams lost"] += 1
