Zones: a process that went on in another zone is held for gone by the one it left; names that go wrong, in tests

Cause: whose zone in its file is changed, as a wrong one put right or a zone renamed, starts again at its address and is never met in the zone that it left.

A connection that comes up counts as refused where links have heard another process at that address since, and the one asked for has said nothing since the knock began. Zoned instances only.

--- a/wheathill/lab/scale/crew.py
+++ b/wheathill/lab/scale/crew.py
@@ -42,8 +42,9 @@
 
 
 class Crews:
-    """`real`: numbers of members that are not hollow ones. Some members have a process of their own: what shares one can't be told apart from the others by its memory, nor by
-    its processor time from what it costs to wake a process up. One process more has none, and is what is taken off."""
+    """Some members have a process of their own: what shares one can't be told apart from the others by its memory, nor by
+    its processor time from what it costs to wake a process up. One process more has none, and is what is taken off.
+    `real`: numbers of members that are not hollow ones."""
 
     ALONE, ENOUGH = 8, 30       # so many, where there are so many members
 
--- a/wheathill/peers/zoned.py
+++ b/wheathill/peers/zoned.py
@@ -71,6 +71,19 @@
         elif address is not None:
             self.ask_difference(now, address)
 
+    # What membership calls for
+
+    def knock(self, name, birth, address, wait, why):
+        """A process may have taken the address that is of another zone now, by its file: nobody of this one ever meets it, and
+        its connections come up all the same. That the one before is gone is what links have found since then."""
+        began = self.clock.now()
+
+        def told(how):
+            member, peer = self.membership.members.get(name), self.links.peers.get(address)
+            replaced = member is not None and member.heard <= began and peer is not None and birth in peer.past
+            self.membership.on_knock(self.clock.now(), name, birth, "refused" if how == "up" and replaced else how, why)
+        self.links.knock(address, wait, told)
+
     # The board
 
     def on_board(self, now, zone, address, kind, rest):
