--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -12,10 +12,12 @@
 
 import pytest
 
-from wheathill.config import Misconfigured
+from wheathill.config import Misconfigured, operator
 from wheathill.lab.scale import fit, fleet, honest, judge
 from wheathill.lab.scale.hollow import StretchedClock, idle_node
 from wheathill.lab.scale.layout import PORT, Layout, free_net, region_of
+from wheathill.lab.scale.member import operators_file
+from wheathill.lab.scale.reals import numbers as real_numbers
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
 from wheathill.net.driver import Carrier
 from wheathill.net.machine import Machine
@@ -80,6 +82,81 @@
     assert all(breach in said for breach in found["breaches"])
 
 
+@pytest.fixture(scope="module")
+def mixed():
+    """Thirty hollow proxies and six real ones with sessions: (exit code, object, what was said). A region is cut off; a real
+    one dies, one is restarted, and one is told of the last of three drains."""
+    done = subprocess.run(command("--members", 36, "--real", 6, "--sessions", 3, "--zones", 6, "--regions", 3, "--seconds", 26,
+                                  "--loss", 0.01, "--cut", "r2", "--churn", 2, "--seed", 5, "--processes", 3),
+                          capture_output=True, text=True, timeout=180)
+    return done.returncode, json.loads(done.stdout), done.stderr
+
+
+def test_real_proxies_are_members_like_the_others(mixed):
+    code, found, said = mixed
+    assert code == 0 and found["breaches"] == [], said
+    assert found["running"] == found["views_right"] == 35 and found["real"]["running"] == 5
+    assert found["restarts"] == 2 and found["real"]["processes_started"] == 7
+    assert found["largest_sum_of_shares"] == 1.0 and found["not_reached"] == found["deaths_not_known"] == 0
+    assert 0 < found["real"]["change_in_force_s"]["max"] < fleet.WITHIN
+    # Their control part says what that of a hollow one says; a whole process costs more.
+    assert 0.3 < found["real"]["messages_per_s"]["mean"] / found["messages_per_s"]["mean"] < 3.0
+    assert found["real"]["core_share_with_sessions"]["mean"] > found["core_share"]["mean"]
+
+
+def test_real_proxies_follow_drains_that_others_were_told_and_keep_their_sessions(mixed):
+    real = mixed[1]["real"]
+    ways = real["sessions"]
+    assert real["opened_anew"] == 0 and real["never_in_use"] == [] and real["still_at_drained"] == 0
+    assert ways["moved"] > 5 and ways["ended"] > 100 and real["fewest_up_at_one"] > 20 and real["lines"] > 1000
+    assert not any(ways.get(how) for how in ("broken", "failed", "refused", "answered out of order")), ways
+    assert ways["died with its proxy"] > 5
+
+
+@pytest.fixture(scope="module")
+def released():
+    """Sixty members, six of them real: two of a zone die at once, what leaves a region is lost for a while, and then each is
+    restarted, a tenth at a time: (exit code, object, what was said)."""
+    done = subprocess.run(command("--members", 60, "--real", 6, "--zones", 6, "--regions", 3, "--seconds", 20, "--loss", 0.01,
+                                  "--cut-out", "r2", "--rack", "z1", "--deaths", 0, "--release", 8, "--seed", 6,
+                                  "--processes", 4),
+                          capture_output=True, text=True, timeout=240)
+    return done.returncode, json.loads(done.stdout), done.stderr
+
+
+def test_a_release_in_tenths_restarts_each_once(released):
+    code, found, said = released
+    assert code == 0 and found["breaches"] == [], said
+    release = found["release"]
+    assert release["tenths"] == 10 and release["restarted"] == found["restarts"] == found["views_right"] == 58
+    assert release["waited_out"] <= 2 and fleet.RELEASED < release["right_after_s"]["p50"] < 6.0
+    # By pencil 7 KB/s and twice that at a seed (docs/CAPACITY.md).
+    assert 2000 < release["bytes_per_s_middle"]["mean"] < 9000 < release["bytes_per_s_most"] + 4000 < 24_000
+    assert found["changes"] == 3 and found["not_reached"] == 0 and found["largest_sum_of_shares"] == 1.0
+    assert found["real"]["processes_started"] == 12 - (6 - found["real"]["running"])
+    assert found["real"]["opened_anew"] == 0 and "broken" not in found["real"]["sessions"]
+
+
+def test_a_rack_is_known_to_be_dead_and_a_way_cut_in_one_direction_stops_news_in_that_alone(released):
+    _, found, _ = released
+    # Those that had seen it were all restarted after: it was judged before.
+    assert found["deaths"] == 2 and found["deaths_not_known"] == 0 and 0 < found["death_known_s"]["max"] < 8.0
+    assert found["cut_out"] == "r2" and found["shaped"]["datagrams cut off"] > 10
+    assert found["changes_late"] == 0
+
+
+def test_what_real_proxies_are_told_is_what_hollow_ones_are(tmp_path):
+    told = Layout(40, 4, 2, 1, 1, 1000.0, 300.0, 0, 1, True)
+    (tmp_path / "key").write_bytes(told.told(0).key)
+    (tmp_path / "key").chmod(0o600)
+    path = tmp_path / "file.toml"
+    path.write_text(operators_file(told.name(7), "127.1.0.8:1", [{"name": "all"}], [("s", "127.0.0.1:1", "ready")], 40,
+                                   told.told(7), str(tmp_path / "key")))
+    assert operator.read(str(path)).peers == told.told(7)
+    assert [told.zone(number) for number in real_numbers(40, 4, 8)] == [0, 1, 2, 3, 0, 1, 2, 3]
+    assert real_numbers(40, 4, 8)[0] == 12 and real_numbers(6, 3, 5) == [1, 2, 3, 4, 5]
+
+
 def test_all_known_from_the_start_and_a_stretched_time(tmp_path):
     """Views that are given are the ones that would be found; three seconds of the machine are two of the fleet's."""
     start = time.monotonic()
@@ -121,7 +198,9 @@
 
 @pytest.mark.parametrize("more, said", [
     (("--cut", "r9"), "--cut: 'r9' is none of r1 to r2"), (("--kill-zone", "x"), "--kill-zone: 'x' is none of z1 to z3"),
-    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss")])
+    (("--regions", "4"), "--zones: must be"), (("--loss", "2"), "--loss"), (("--real", "9"), "--real: must be"),
+    (("--cut-out", "r9"), "--cut-out: 'r9' is none"), (("--rack", "z9"), "--rack: 'z9' is none"),
+    (("--cut", "r1", "--cut-out", "r2"), "--cut-out: there is one cut")])
 def test_bad_options_name_themselves(more, said):
     done = subprocess.run(command("--members", 9, "--zones", 3, "--regions", 2, "--seconds", 5, *more),
                           capture_output=True, text=True, timeout=60)
@@ -152,6 +231,12 @@
     assert found["lacked"] == [3] and found["late"] == 1 and found["open"] == 1
 
 
+def test_news_into_a_region_from_which_nothing_leaves_has_no_excuse():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0, out=True)
+    assert cut.since(0, 1, 12.0) == 12.0 and cut.since(1, 0, 12.0) == 30.0 and cut.since(1, 4, 12.0) == 12.0
+    assert cut.since(1, 0, 31.0) == 31.0
+
+
 def test_a_death_across_a_cut_is_known_once_the_cut_is_over():
     cut = judge.Cut(layout(), 1, 10.0, 30.0)
     known = {(0, 2): 12.5, (1, 2): 34.0, (4, 2): 11.0}
@@ -159,6 +244,17 @@
     assert sorted(took) == [0.0, 1.5, 4.0] and never == 1
 
 
+def test_a_session_at_a_drained_server_counts_once_its_proxy_could_have_known():
+    cut = judge.Cut(layout(), 1, 10.0, 30.0)        # members 1 and 4
+    starts = {0: [0.0], 1: [0.0], 2: [0.0, 40.0], 4: [0.0]}
+    changes = {"c": (0, 12.0), "d": (0, 13.0)}
+    opens = [("c", 0, 11.0), ("c", 0, 18.4), ("c", 0, 18.6), ("c", 1, 36.4), ("c", 4, 36.6), ("c", 2, 46.4), ("c", 2, 39.9),
+             ("s", 0, 90.0)]
+    found = judge.opened_anew(opens, changes, starts, cut, 6.5)
+    assert found["opened_anew"] == 3 and [late[:2] for late in found["opened_anew_first"]] == [["c", 0], ["c", 4], ["c", 2]]
+    assert found["never_in_use"] == ["d"]
+
+
 def test_a_spread_of_nothing_tells_nothing():
     assert judge.spread([])["p99"] is None
     assert judge.spread(range(1, 101)) == {"mean": 50.5, "p50": 51, "p99": 100, "max": 100}
@@ -271,6 +367,22 @@
     between(test)
 
 
+def test_across_a_way_cut_in_one_direction_only_datagrams_arrive_the_other_way():
+    async def test(two):
+        here, there = two.one.datagrams(two.ends[1], two.layout.where(0)), two.other.datagrams(two.ends[2], two.layout.where(1))
+        two.shape.set_cut(1, out=True)
+        here.send(b"in", two.layout.where(1))
+        there.send(b"out", two.layout.where(0))
+        connect(two, two.ends[0])
+        await asyncio.sleep(0.5)
+        assert [data for _, data in two.ends[2].came] == [b"in"] and not two.ends[1].came
+        assert not two.ends[0].up.done() and not two.ends[0].over.done()
+        assert two.shape.counts["datagrams cut off"] == two.shape.counts["connection attempts cut off"] == 1
+        here.close()
+        there.close()
+    between(test)
+
+
 def test_a_stream_across_a_cut_holds_what_is_on_it_and_keeps_its_order():
     async def test(two):
         one, far = two.ends[0], two.ends[1]
