Sessions leave no cycles of references, and no full collection walks over all that is open

Cause: a full collection held the loop for a time that grew with all that is open, and every session fed the collector: its wires and machines held each other, tasks their wires, asyncio's transports a bound method of themselves, alarms that had rung their machines, a session the generator of its choices, watches and operators' calls a bound method of themselves.

Change: a wire lets its machine go when nothing comes any more (after connection_lost, or when it never came up), machines what holds them in turn, Machine an alarm that has rung, Carried a session's choices once it is up or over.

--- a/wheathill/daemon.py
+++ b/wheathill/daemon.py
@@ -10,6 +10,7 @@
 from wheathill.config import Misconfigured
 from wheathill.net.clock import Clock
 from wheathill.net.driver import Carrier
+from wheathill.net.garbage import keep_collections_short
 from wheathill.net.log import Log
 from wheathill.net.proxy import Proxy
 
@@ -103,6 +104,7 @@
     try:
         node = allow_sockets(read())
         log = Log(node.name, node.limits.log_lines)
+        keep_collections_short()
         serving = serve(node, log, read)
         del node
         try:
--- a/wheathill/lab/worlds/tap.py
+++ b/wheathill/lab/worlds/tap.py
@@ -73,6 +73,9 @@
         self.dead = True
         self.machine.lost(reset)
 
+    def let_go(self):
+        self.machine.let_go()
+
     def fault(self):
         self.wire.abort(reset=True)
         self.machine.lost(True)
--- a/wheathill/net/admin.py
+++ b/wheathill/net/admin.py
@@ -65,7 +65,7 @@
         self.wire = wire
         self.answer = answer
         self.lines.longest = limits.call_head
-        self.read = self.request_line
+        self.read = Call.request_line
         self.method = self.target = None
         self.head = self.headers = 0        # bytes and lines so far
         self.body = None                    # bytes still to come
@@ -79,7 +79,7 @@
             return
         self.lines.feed(data)
         try:
-            while not self.done and self.read():
+            while not self.done and self.read(self):
                 pass
         except Malformed:
             self.say_no(No(431, f"a head of over {self.limits.call_head} bytes"))
@@ -104,7 +104,7 @@
         if not words[2].startswith(b"HTTP/1."):
             raise No(505, "HTTP/1.1 is spoken here")
         self.method, self.target = words[0].decode(), words[1]
-        self.read = self.header
+        self.read = Call.header
         return True
 
     def header(self):
@@ -112,7 +112,7 @@
         if line is None:
             return False
         if not line:
-            self.read = self.skip_body
+            self.read = Call.skip_body
             return True
         self.headers += 1
         if self.headers > self.limits.call_headers:
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -228,6 +228,7 @@
         client = self.clients.pop(sess)
         self.asking.pop(client, None)
         client.sess = None
+        sess.choices = None         # a generator that holds its session: a cycle, and of no use any more
         self.ids[client.head.id] = None
         self.figures.count(how)
         now = self.now()
@@ -380,6 +381,7 @@
         client.serve(dial, line)
         self.heard(dial.server)
         if sess in self.clients:
+            sess.choices = None     # nobody else is to be tried
             self.balancer.on_accepted(now, sess)
         else:
             self.clients[sess] = client
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -132,6 +132,11 @@
         if self.up:
             self.dial.wire.abort(reset=reset)
 
+    def let_go(self):
+        # Where a fault of its dial ended it, the alarm for its answer is still set.
+        self.timer.cancel()
+        self.dial = None
+
     def fault(self):
         if self.up:
             self.lost(True)
--- a/wheathill/net/discovery.py
+++ b/wheathill/net/discovery.py
@@ -74,7 +74,7 @@
         super().__init__(door, limits, clock)
         self.request = (f"GET /v1/servers?stream=1&index={since} HTTP/1.1\r\n"
                         f"Host: {host}\r\nAccept: application/json\r\n\r\n").encode()
-        self.read = self.status
+        self.read = Watch.status     # not bound: that would be a cycle of references for each watch
         self.chunked = False
         self.left = None            # bytes of the present chunk, or of the answer where it says how many
         self.objects = Objects(limits.list_line)
@@ -98,7 +98,7 @@
         self.came = self.clock.now()
         self.lines.feed(data)
         try:
-            while self.read():
+            while self.read(self):
                 pass
         except Malformed as wrong:
             self.end(str(wrong))
@@ -110,7 +110,7 @@
         words = line.split(b" ", 2)
         if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or words[1] != b"200":
             raise Malformed(f"answered {line[:80]!r}")
-        self.read = self.header
+        self.read = Watch.header
         return True
 
     def header(self):
@@ -126,7 +126,7 @@
                 raise Malformed(f"an answer of {value[:20]!r} bytes")
             self.left = int(value)
         if not line:
-            self.read = self.chunk_size if self.chunked else self.plain
+            self.read = Watch.chunk_size if self.chunked else Watch.plain
         return True
 
     def plain(self):
@@ -152,7 +152,7 @@
             raise Malformed(f"a chunk of size {line[:20]!r}") from None
         if self.left <= 0:
             raise Malformed("the answer ended")
-        self.read = self.chunk
+        self.read = Watch.chunk
         return True
 
     def chunk(self):
@@ -161,7 +161,7 @@
         self.left -= len(data)
         self.take(data)
         if not self.left:
-            self.read = self.chunk_end
+            self.read = Watch.chunk_end
         return bool(data)
 
     def chunk_end(self):
@@ -169,7 +169,7 @@
         if line:
             raise Malformed("a chunk longer than it says")
         if line is not None:
-            self.read = self.chunk_size
+            self.read = Watch.chunk_size
         return line is not None
 
     def take(self, data):
--- a/wheathill/net/driver.py
+++ b/wheathill/net/driver.py
@@ -11,6 +11,8 @@
 import termios
 from collections import deque
 
+from wheathill.net.machine import NoMachine
+
 
 class Carrier:
     """What all connections of a proxy share: the loop, one receive buffer, and the count of sockets."""
@@ -37,7 +39,7 @@
         """The connection of a descriptor from another process; it reads nothing until `hold(False)`."""
         wire = machine.wire = Wire(self, lambda _: machine)
         wire.handed = wire.counted = True       # as a descriptor, so far
-        wire.task = self.loop.create_task(wire.take(socket.socket(fileno=handle)))
+        wire.begin(wire.take(socket.socket(fileno=handle)))
         return wire
 
     def drop(self, handles):
@@ -65,7 +67,7 @@
         wire = Wire(self, lambda _: machine)
         # Counted from the start: a connection that is being set up holds a descriptor.
         wire.count(True)
-        wire.task = self.loop.create_task(wire.connect(address, source))
+        wire.begin(wire.connect(address, source))
         return wire
 
     def datagrams(self, machine, address):
@@ -137,8 +139,7 @@
             wire = Wire(self.carrier, self.make_machine)
             wire.count(True)
             self.coming[wire] = None
-            wire.task = self.carrier.loop.create_task(wire.take(taken))
-            wire.task.add_done_callback(lambda _, wire=wire: self.coming.pop(wire))
+            wire.begin(wire.take(taken)).add_done_callback(lambda _, wire=wire: self.coming.pop(wire))
 
     @property
     def waiting(self):
@@ -227,6 +228,16 @@
         self.handed = False         # by another process
         self.refused = False        # nobody listens there
 
+    def begin(self, how):
+        self.task = self.carrier.loop.create_task(how)
+        self.task.add_done_callback(self.begun)
+        return self.task
+
+    def begun(self, _task):
+        self.task = None
+        if self.transport is None:
+            self.forget_machine()
+
     async def take(self, sock):
         try:
             await self.carrier.loop.connect_accepted_socket(lambda: self, sock)
@@ -303,6 +314,16 @@
         self.carrier.parting.pop(self, None)
         self.count(False)
         self.tell_lost(wrong is not None)
+        self.forget_machine()
+
+    def forget_machine(self):
+        """Nothing comes any more. No cycle of references is left, also none of the transport's own: asyncio's keeps a
+        bound method of itself."""
+        machine, self.machine = self.machine, NoMachine
+        machine.let_go()
+        held = vars(self.transport) if self.transport else {}
+        for name in [name for name, found in held.items() if getattr(found, "__self__", None) is self.transport]:
+            del held[name]
 
     def tell_lost(self, reset):
         if not self.over and not self.parted:
@@ -405,7 +426,8 @@
             return
         self.over = True
         if self.transport is None:
-            self.task.cancel()
+            if self.task:
+                self.task.cancel()
             return self.count(False)
         if reset:
             self.transport.get_extra_info("socket").setsockopt(
--- a/wheathill/net/machine.py
+++ b/wheathill/net/machine.py
@@ -25,7 +25,12 @@
 
     def set_timer(self, wait, call, *args):
         self.timer.cancel()
-        self.timer = self.clock.after(wait, call, *args)
+        self.timer = self.clock.after(wait, self.rang, call, *args)
+
+    def rang(self, call, *args):
+        # An alarm that has rung still holds its call, and so the machine that holds it.
+        self.timer = NoTimer
+        call(*args)
 
     @property
     def held_back(self):
@@ -53,3 +58,15 @@
 
     def fault(self):
         """One of the above raised an exception."""
+
+    def let_go(self):
+        """The wire is gone, also where that was not told as `lost`, and will call nothing any more. What holds this
+        machine in turn is given up here: the loop would stand for as long as it took to find all such cycles."""
+
+
+class NoMachine:
+    """Stands where a wire has let its own go."""
+
+    @staticmethod
+    def fault():
+        pass
