An upgrade in flight takes over all ids, names and servers that a process of 50,000 connections may hold

Cause: the new process took at most 16,384 ids, whatever its descriptors allow, and refused the state of more; all servers went over in one message, which is refused where it is longer than the longest list (2.7 MB of 4 for 8,000 servers of which nothing is noted; 1.3 MB is the limit with 32 MB of memory); `Limits.names` counted listed servers too, so with 8,000 listed no name of a release's old ones was kept beyond the next list; and each 16 sessions that go over were looked for by a walk over all.

Change: ids are bounded by the descriptors (and the limit beyond), servers by the longest list, names by the limit beyond the servers; servers go in messages of half the longest line, in one where they fit, as builds before this one read; `Limits.names` counts those that are not listed any more. Of those that go over next no more are looked at than go.

Told is made with the limits now, so the one call in test_state_goes_over_whole is too. A build before this one takes no state from this one where servers need more than one message (some 2,000, by 4 MB a line): it starts as from nothing.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -16,7 +16,9 @@
 from drive import Rig, kept
 from test_net import LIMITS, Hand
 from wheathill.config import node_of
+from wheathill.handover import talk
 from wheathill.handover.state import VERSION, Told, tell
+from wheathill.handover.talk import Giver
 from wheathill.model import ListKind, Session
 from wheathill.net import bans
 from wheathill.net.admin import Call, No
@@ -181,7 +183,7 @@
     parts = [orjson.loads(orjson.dumps(part, default=tuple)) for part in tell(old)]
 
     def took(proxy, parts):
-        told = Told(1000)
+        told = Told(proxy.limits)
         for part in parts:
             told.take(*next(iter(part.items())))
         told.apply(proxy)
@@ -199,6 +201,109 @@
             assert list(tell(third)) == before
 
 
+def large(servers=(), **limits):
+    node = node_of({"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "s", "limits": limits,
+                    "settings": {"listeners": [{"name": "any", "repeat": "retryable"}]}})
+    proxy = balanced(node)
+    proxy.clock.from_wall = lambda wall: wall
+    if servers:
+        proxy.listed(list_of(servers), ListKind.FULL)
+    return proxy
+
+
+def list_of(names, seq=1):
+    return {"seq": seq, "whole": True, "hosts": [
+        {"host": name, "dial": "h:3", "site": "x", "health": "ready", "born_ms": 0} for name in names]}
+
+
+def told_parts(proxy):
+    return [orjson.loads(orjson.dumps(part, default=tuple)) for part in tell(proxy)]
+
+
+def taken(proxy, parts):
+    told = Told(proxy.limits)
+    for part in parts:
+        told.take(*next(iter(part.items())))
+    told.apply(proxy)
+
+
+def test_the_ids_of_all_sessions_that_fit_go_over():
+    """As many as the descriptors of one process allow, open ones and as many that are over."""
+    old, new = (large(sockets=100_200) for _ in range(2))
+    old.ids.update({f"id {number}": None for number in range(100_000)})
+    taken(new, told_parts(old))
+    assert list(new.ids) == list(old.ids)
+
+
+def test_thousands_of_servers_go_over_in_messages_that_are_taken():
+    """Whatever was noted of each: with all in one message it was too long where lists are near the longest."""
+    names = [f"server-{number}.of-some-length.example" for number in range(8000)]
+    old, new = (large(names if place == 0 else (), memory_mb=32) for place in range(2))
+    for server in old.servers.values():
+        server.dialled.extend(70_000.0 + place / 7 for place in range(128))
+    parts = told_parts(old)
+    assert max(len(orjson.dumps(part)) for part in parts) < old.limits.list_line
+    assert sum(len(orjson.dumps(part)) for part in parts if "servers" in part) > 2 * old.limits.list_line
+    taken(new, parts)
+    assert list(new.servers) == names and new.servers[names[-1]].dialled == old.servers[names[-1]].dialled
+
+
+def test_state_is_bounded_by_what_a_process_may_hold():
+    proxy = large(sockets=1000, memory_mb=32)
+    limits = proxy.limits
+    for name, most in (("ids", limits.ids + 1000), ("names", limits.names), ("servers", limits.list_line // 40),
+                       ("moved", limits.ids + limits.names)):
+        told = Told(limits)
+        told.take(name, ["x"] * most)
+        with pytest.raises(ValueError):
+            told.take(name, ["x"])
+
+
+def test_a_release_of_all_servers_leaves_their_names_known():
+    """Their drains are remembered against an agent that is behind, beside as many that are listed."""
+    names = [[f"{release}-{number}" for number in range(8000)] for release in "ab"]
+    proxy = large(names[0])
+    proxy.listed(list_of(names[1], seq=2), ListKind.FULL)
+    assert len(proxy.servers) == 8000 and set(names[0]) <= set(proxy.names)
+    proxy.listed(list_of(names[0][:1], seq=1), ListKind.CHANGES)
+    assert names[0][0] not in {server.name for server in proxy.balancer.roster.servers}
+    # No more of them than the limit, however many releases come.
+    for seq in range(3, 6):
+        proxy.listed(list_of([f"{seq}-{number}" for number in range(8000)], seq=seq), ListKind.FULL)
+    assert len(proxy.names) == 8000 + proxy.limits.names
+
+
+class Counted(dict):
+    looked = 0
+
+    def items(self):
+        for found in super().items():
+            self.looked += 1
+            yield found
+
+
+def test_what_goes_over_next_is_found_without_a_walk_over_all():
+    """All sessions go over, a few at a time: with a walk over all each time the old process stood still."""
+    proxy = large(sockets=2000)
+    proxy.clients = Counted({number: types.SimpleNamespace(quiet=number % 5 != 0) for number in range(1000)})
+    proxy.hand_over = lambda sess, client: [sess, -sess]
+    sent = []
+    giver = Giver(Hand("wire", []), proxy, None)
+    giver.wire.carrier = types.SimpleNamespace(sockets=0)
+    giver.say = lambda handles=(), **told: sent.append((handles, told))
+    giver.held = proxy.limits.own_sockets
+    state, talk.told_session = talk.told_session, lambda client, dial: {}
+    try:
+        for client in proxy.clients.values():
+            client.dial = None
+        giver.carry()
+    finally:
+        talk.told_session = state
+    (handles, told), = sent
+    assert len(told["sessions"]) == proxy.limits.carried and len(handles) == 2 * proxy.limits.carried
+    assert proxy.clients.looked <= 1.25 * proxy.limits.carried + 1
+
+
 @pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"version":9,"out":{}}', b'{"version":1,"out":{"a":"b"}}'])
 def test_bad_bans(tmp_path, text):
     (tmp_path / "file").write_bytes(text)
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -166,7 +166,8 @@
     ping_every: float = 50.0            # and no more of these than one in such a time, but for the first few
     pings: int = 20
     line_next: float = 10_000.0         # for the next one of a client that has sent PING
-    names: int = 8192                   # of servers ever listed, kept to know one that operators name
+    names: int = 8192                   # of servers that were listed and are not any more, kept to know one that
+                                        # operators name, or an older list
     ids: int = 8192                     # of sessions, kept to know one that comes again
     bad_every: float = 1000.0           # clients that said nonsense are logged, so many at most in such a time
     bad_lines: int = 5
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -10,6 +10,7 @@
 
 VERSION = 1
 CHUNK = 1000        # keys, ids or names in one message: none takes the loop for long
+SHORTEST = 40       # bytes of an entry of a list that can be read
 
 SERVER_TIMES = ("started", "told", "late", "heard", "shift_after", "move_after", "asked")
 SERVER_FIGURES = ("weight",)
@@ -21,7 +22,8 @@
     place = {server: at for at, server in enumerate(servers)}
     # A build that still keeps a credit for cold servers asks for one: it gets none.
     spent = {"credit": 0.0, "credited": proxy.now()}
-    yield {"servers": [{**told_server(server, proxy.addresses.get(server)), **spent} for server in servers]}
+    yield from server_chunks([{**told_server(server, proxy.addresses.get(server)), **spent} for server in servers],
+                             proxy.limits.list_line / 2)
     table = balancer.table
     yield {"table": {**{name: [place.get(server) for server in getattr(table, name)]
                         for name in ("home", "current", "new")}, "opened": list(table.opened.items())}}
@@ -45,6 +47,19 @@
         yield {name: known[at:at + CHUNK]}
 
 
+def server_chunks(told, most):
+    """Messages of some `most` bytes. All in one where they fit: builds that take but one read that."""
+    part, size = [], 0
+    for one in told:
+        longer = 700 + len(one["name"]) + 20 * len(one["dialled"]) + 45 * (len(one["samples"]) + len(one["results"]))
+        if part and size + longer > most:
+            yield {"servers": part}
+            part, size = [], 0
+        part.append(one)
+        size += longer
+    yield {"servers": part}
+
+
 def told_server(server, address):
     return {"name": server.name, "address": address, "zone": server.zone, "cell": server.cell,
             "phase": server.phase.value, "listed": server.listed.value, "silent": server.silent,
@@ -57,19 +72,26 @@
 class Told:
     """Collects the messages; `apply` gives them to a proxy that has just been made."""
 
-    LISTS = ("moved", "exceptions", "ids", "names")
+    LISTS = ("servers", "moved", "exceptions", "ids", "names")
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.parts = {name: [] for name in self.LISTS[1:]}
 
-    def __init__(self, most):
-        self.most = most
-        self.parts = {name: [] for name in self.LISTS}
+    def most(self, name):
+        """That one process may hold: by its descriptors, of which a session takes two while, beyond the limit, there
+        are no more ids of sessions that are over than of open ones; and by the longest list. Servers come first."""
+        limits = self.limits
+        return {"servers": limits.list_line // SHORTEST, "ids": limits.ids + limits.sockets,
+                "names": limits.names + len(self.parts.get("servers", ()))}.get(name, limits.ids + limits.names)
 
     def take(self, name, value):
         if name in self.LISTS:
-            self.parts[name] += expect(value, list)
-            if len(self.parts[name]) > self.most:
-                raise ValueError(f"more than {self.most} {name}")
-        elif name in ("servers", "table", "rest"):
-            self.parts[name] = expect(value, list if name == "servers" else dict)
+            self.parts[name] = self.parts.get(name, []) + expect(value, list)
+            if len(self.parts[name]) > self.most(name):
+                raise ValueError(f"more than {self.most(name)} {name}")
+        elif name in ("table", "rest"):
+            self.parts[name] = expect(value, dict)
         else:
             raise ValueError(f"{str(name)[:40]!r} is no part of the state")
 
--- a/wheathill/handover/talk.py
+++ b/wheathill/handover/talk.py
@@ -12,6 +12,8 @@
 Bounded: a line by `limits.list_line`, waits by `limits.handover`. Whoever is in doubt closes.
 """
 
+from itertools import islice
+
 import orjson
 
 from wheathill.handover.state import VERSION, Told, read_session, tell, told_session
@@ -140,13 +142,14 @@
         if self.sent:
             return
         handles, told = [], []
-        for sess, client in list(self.proxy.clients.items()):
-            if len(told) < self.limits.carried and client.quiet:
-                state = told_session(client, client.dial)
-                pair = self.proxy.hand_over(sess, client)
-                if pair:
-                    told.append(state)
-                    handles += pair
+        # No more of them are looked at than go over now: all, each time, would be their square.
+        quiet = ((sess, client) for sess, client in self.proxy.clients.items() if client.quiet)
+        for sess, client in list(islice(quiet, self.limits.carried)):
+            state = told_session(client, client.dial)
+            pair = self.proxy.hand_over(sess, client)
+            if pair:
+                told.append(state)
+                handles += pair
         if told:
             self.out, self.sent = handles, told
             self.say(handles, sessions=told)
@@ -172,7 +175,7 @@
 
     def __init__(self, post, proxy, hub):
         super().__init__(post, proxy, hub)
-        self.told = Told(proxy.limits.ids + proxy.limits.names)
+        self.told = Told(proxy.limits)
         self.took = False
 
     @property
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -1,6 +1,7 @@
 """What a proxy is told: its configuration, the list of servers, and who is out by an operator's hand."""
 
 import math
+from itertools import islice
 
 from wheathill.config import address, needs_restart
 from wheathill.model import ListKind, Outcome, Phase, Server
@@ -198,13 +199,6 @@
             for server in self.servers.values():
                 if server.phase is Phase.GONE and self.names.get(server.name) is None:
                     self.names[server.name] = version, server.started
-        while len(self.names) > self.limits.names:
-            # Of those listed the list is the bound; the others go, unless they are out.
-            gone = next((old for old in self.names
-                         if old not in self.servers and old not in self.balancer.roster.out), None)
-            if gone is None:
-                break
-            del self.names[gone]
 
     def forget_gone(self):
         """Names may be new with every release: those that left would add up. One that comes back is new."""
@@ -217,6 +211,11 @@
                 self.addresses.pop(server, None)
                 if self.peers:
                     self.peers.forget_server(name)
+        # Of those listed the list is the bound; of the others the oldest go, unless they are out.
+        over = len(self.names) - len(self.servers) - self.limits.names
+        gone = (old for old in self.names if old not in self.servers and old not in self.balancer.roster.out)
+        for old in list(islice(gone, max(0, over))):
+            del self.names[old]
 
     def told_by_peers(self, server, phase, born):
         """Others were told of a drain, that it is over, or of a new start, which this proxy's list doesn't say."""
