--- a/wheathill/lab/scale/data.py
+++ b/wheathill/lab/scale/data.py
@@ -15,7 +15,9 @@
 SIZE = 50_000               # connections that a proxy is to hold
 P99_MS = 140.0
 ARRIVALS = 1500.0           # clients a second, where nothing else is asked
+PASSING = 1200.0            # the same, of clients whose sessions end at once
 HALF_LINE = 512
+SESSIONS = 200_000          # that pass, where it is looked for what they leave
 STEP = 1.25                 # from one rate to the next, where a core's limit is looked for
 KEPT_UP = 0.97              # of what was to be written or read: below it the stand-ins are the limit
 FULL = 0.95                 # of a core
@@ -248,6 +250,28 @@
     return found
 
 
+def endings(count, *, processes, seconds, seed, say, rounds=8, open_meanwhile=500):
+    """Memory of a proxy through which so many sessions pass, that end in all ways, while others stand."""
+    with Rig(processes, TOPICS, seed) as rig:
+        proxy = rig.proxy()
+        rig.come(proxy, open_meanwhile, ARRIVALS)
+        resident, up, first, begun = [seen.memory_kb(proxy.pid)[0]], 0, 0, time.monotonic()
+        for _ in range(rounds):
+            part = max(1, count // rounds // len(rig.clients))
+            for one in rig.clients:
+                one.tell("pass", proxy=proxy.at, count=part, rate=PASSING / len(rig.clients), first=first,
+                         name=f"p{one.pid}")
+            up += sum(one.answer(60.0 + 10 * part / PASSING * len(rig.clients))["up"] for one in rig.clients)
+            first += part
+            time.sleep(min(SETTLED, seconds))       # what lingers is closed
+            resident.append(seen.memory_kb(proxy.pid)[0])
+        found = {"sessions": first * len(rig.clients), "up": up, "open_meanwhile": open_meanwhile,
+                 "rss_kb": resident, "seconds": time.monotonic() - begun}
+    say(f"{found['sessions']} sessions passed in {found['seconds']:.0f} s, {up} of them up, with {open_meanwhile} open "
+        f"meanwhile: resident {', '.join(f'{kb / 1024:.1f}' for kb in resident)} MB")
+    return found
+
+
 # Key, factor, and the forms that it may follow: what is told for each connection may grow with their number only where
 # something walks over them.
 EACH, ALL = ("constant", "linear"), ("constant", "linear", "square")
@@ -268,10 +292,12 @@
     return found
 
 
-def measure(sizes, *, processes, seconds, rate, seed, say, only=("sizes", "parts", "core", "rush")):
+def measure(sizes, *, processes, seconds, rate, seed, say, only=("sizes", "parts", "core", "rush"), sessions=SESSIONS):
     """All of it. `rate`: deliveries a second where none is looked for. Raises Failed where a process gives no answer."""
     told = dict(processes=processes, seconds=seconds, seed=seed, say=say)
     found = {"sizes": sizes, "seed": seed, "seconds": seconds, "processes": processes, "rate": rate}
+    if "endings" in only:
+        found["endings"] = endings(sessions, **told)
     if "sizes" in only:
         found["by_size"] = [at_size(size, rate=rate, **told) for size in sizes]
         found["slopes"] = slopes(found["by_size"])
--- a/wheathill/lab/scale/data_commands.py
+++ b/wheathill/lab/scale/data_commands.py
@@ -12,11 +12,12 @@
 @click.option("--processes", type=int, default=3, show_default=True, help="of servers, and of clients")
 @click.option("--seconds", type=float, default=8.0, show_default=True, help="of each measurement")
 @click.option("--rate", type=float, default=6000.0, show_default=True, help="deliveries a second")
-@click.option("--only", default="sizes,parts,core,rush", show_default=True)
+@click.option("--only", default="sizes,parts,core,rush", show_default=True, help="and endings, which is asked for alone")
+@click.option("--sessions", type=int, default=200_000, show_default=True, help="of endings: how many pass")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
-def data(sizes, processes, seconds, rate, only, seed, json_path):
-    """The data path: connections, handshakes, deliveries, moves, rest, one core's limit, a rush."""
+def data(sizes, processes, seconds, rate, only, sessions, seed, json_path):
+    """The data path: connections, handshakes, deliveries, moves, rest, one core's limit, a rush, what endings leave."""
     from wheathill.lab.scale import data as path
     from wheathill.lab.scale.rig import Failed, most_connections
     sizes = sorted(int(size) for size in sizes.split(","))
@@ -25,7 +26,7 @@
                                  param_hint="--sizes")
     try:
         keep(path.measure(sizes, processes=processes, seconds=seconds, rate=rate, seed=seed, only=only.split(","),
-                          say=click.echo), json_path)
+                          sessions=sessions, say=click.echo), json_path)
     except Failed as wrong:
         click.echo(str(wrong), err=True)
         sys.exit(1)
--- a/wheathill/lab/scale/ends.py
+++ b/wheathill/lab/scale/ends.py
@@ -24,6 +24,11 @@
 EVERY = 1.0                 # between two looks at what is due, ms
 AT_A_LOOK = 256             # lines written before what came is read
 SIGNIFICANT = 3             # digits of a latency
+# How a session may end, and which of them are its server's to do: at its first line, and instead of UP.
+SERVERS_ENDS = ("by_bye", "by_server_reset")
+UNANSWERED = ("by_busy", "by_err", "by_leaving")
+# Where many fail the proxy takes few in: one in 26 does.
+WAYS = (*SERVERS_ENDS, *UNANSWERED, "by_nonsense", "by_looking", *15 * ("by_bye", "by_finishing", "by_client_reset"))
 
 
 class Served(Machine):
@@ -36,17 +41,37 @@
         self.lines.feed(data)
         while (line := self.lines.next()) is not None:
             if self.open:
+                if self.way in SERVERS_ENDS:
+                    return self.end_it(self.way)
                 if self.door.holds:
                     self.door.held.append((self, line))
                 else:
                     self.wire.send(line, END)
             elif line.startswith(b"OPEN "):
                 self.open = True
+                key = line.split(b" ")[2]
+                self.way = key.partition(b"-")[0].decode() if key.startswith(b"by_") else ""
+                if self.way in UNANSWERED:
+                    return self.end_it(self.way)
                 self.door.served[self] = None
                 self.wire.send(b"UP r", line.split(b" ")[1], END)
             else:
                 self.wire.send(b"PONG util=0.3", END)
 
+    def end_it(self, way):
+        if way == "by_bye":
+            self.wire.send(b"BYE", END)
+        elif way == "by_busy":
+            self.wire.send(b"BUSY", END)
+        elif way == "by_err":
+            self.wire.send(b"ERR", END)
+        if way == "by_server_reset":
+            self.lost(True)
+            self.wire.abort(reset=True)
+        elif way != "by_leaving":
+            self.lost(False)
+            self.wire.part()
+
     def ended(self):
         self.lost(False)
         self.wire.abort()
@@ -123,6 +148,52 @@
         self.wire.abort(reset=True)
 
 
+class Passer(Machine):
+    """A client whose session ends at once, one way or another."""
+
+    def __init__(self, door, number, way):
+        super().__init__(door, LIMITS, door.clock)
+        self.number, self.way = number, way
+        self.up = False
+
+    def connected(self):
+        if self.way == "by_looking":
+            return self.wire.send(b"PING", END)
+        if self.way == "by_nonsense":
+            return self.wire.send(b"WHAT", END)
+        self.wire.send(b"OPEN %s-%d %s-%d c=any,d=2000" % (
+            self.door.name, self.number, self.way.encode(), self.number), END)
+        if self.way == "by_leaving":
+            self.set_timer(20.0, self.leave)
+
+    def received(self, data):
+        self.lines.feed(data)
+        while (line := self.lines.next()) is not None:
+            if not self.up and line.startswith(b"UP"):
+                self.up = True
+                self.door.counts["up"] += 1
+                if self.way == "by_client_reset":
+                    return self.leave()
+                self.wire.send(b"a line", END)
+            elif self.way in ("by_finishing", "by_looking"):
+                return self.wire.finish()
+
+    def leave(self):
+        self.wire.abort(reset=True)
+        self.door.passed()
+
+    def ended(self):
+        self.wire.abort()
+        self.door.passed()
+
+    def lost(self, reset):
+        self.timer.cancel()
+        self.door.passed()
+
+    def fault(self):
+        self.wire.abort(reset=True)
+
+
 class Ends:
     """One process of stand-ins; each method whose name begins with `do_` is a command, and answers with an object."""
 
@@ -233,6 +304,22 @@
         caller.began = self.clock.now()
         caller.come()
 
+    def do_pass(self, proxy, count, rate, name, first):
+        """So many clients, at `rate` a second, whose sessions end in all ways by turns; answers once all are over."""
+        self.proxy, self.name, self.left = tuple(proxy), name.encode(), count
+        self.counts["up"] = 0
+        for place in range(count):
+            self.clock.after(place * 1000 / rate, self.begin_passing, first + place)
+
+    def begin_passing(self, number):
+        passer = Passer(self, number, WAYS[number % len(WAYS)])
+        passer.wire = self.carrier.connect(passer, self.proxy)
+
+    def passed(self):
+        self.left -= 1
+        if not self.left:
+            self.say({"up": self.counts["up"]})
+
     def do_expect(self, proxy, over):
         """Whoever loses its connection from now on comes to `proxy`, after a random part of `over` ms."""
         self.proxy, self.over = tuple(proxy), over
