Lab: sites where nothing is probed or reported and registered weights are off can be scripted

Need: where servers report nothing and weights are rough, the module is hardly better than the plainest policy, and no script of the lab showed such a fleet.

Change: gateways register their weight times a drawn factor (weight_error), the front deals unequal shares (front.shares), sessions differ in load (clients.load_sigma), which only `LOAD` lines tell (gateways.tells_load); each is off where left out. The baseline weighted-random is new.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,19 +1,23 @@
 """The lab: its judges can fail, the same seed gives the same run, and the hard cases are really caused."""
 
 import os
+import random
 import subprocess
 import sys
 import tomllib
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
 from drive import kept
 from wheathill.config import Misconfigured
+from wheathill.lab.judging.baselines import by_weight
 from wheathill.lab.judging.mutants import MUTANTS
 from wheathill.lab.scripts import language as scripts
 from wheathill.lab.scripts.run import play
 from wheathill.lab.scripts.scene import Scene
+from wheathill.lab.tools.experiments import in_time
 from wheathill.lab.worlds.virtual import VirtualWorld
 from wheathill.net.admin import Call
 from wheathill.net.client import Client
@@ -250,8 +254,80 @@
      "list-unreachable, list-torn, list-restarted, list-moved, costly, partition, way, cut, link, link-flap, ring, "
      "replay, split, proxy-starve, stranger"),
     ('listener = "orders"', 'listener = "odd"', "clients[0].listener: 'odd' is none of orders, reads"),
-    ('name = "b"', 'name = "a"', "clients: 'a' stands twice")])
+    ('name = "b"', 'name = "a"', "clients: 'a' stands twice"),
+    ("[[gateways]]", "[[gateways]]\nweight_error = [1.6, 0.6]",
+     "gateways[0].weight_error: from 1.6 to less, 0.6"),
+    ("[[gateways]]", "[[gateways]]\nweight_error = [0.6]",
+     "gateways[0].weight_error: expected `array` of length >= 2"),
+    ("[[gateways]]", "[[gateways]]\nweight_error = [0, 1]",
+     "gateways[0].weight_error[0]: expected `float` > 0.0"),
+    ("[[clients]]", "[front]\nshares = [3, 0.3]\n[[clients]]", "front.shares: from 3 to less, 0.3"),
+    ('name = "b"', 'name = "b"\nload_sigma = -1', "clients[1].load_sigma: expected `float` >= 0.0")])
 def test_script_faults(old, new, fault):
     with pytest.raises(Misconfigured) as wrong:
         scripts.script_of(tomllib.loads(open(MUTANTS_SCRIPT).read().replace(old, new, 1)))
     assert fault in str(wrong.value).splitlines()
+
+
+def test_a_faulty_key_ends_the_command_with_2(tmp_path):
+    script = tmp_path / "rough.toml"
+    script.write_text(open("experiments/unreported.toml").read().replace("weight_error = [0.6, 1.6]",
+                                                                         "weight_error = [2.0, 1.6]", 1))
+    for words in (["run", script], ["sweep", script, "--seeds", "1..1"]):
+        ended = subprocess.run([sys.executable, "-m", "wheathill", "lab", *map(str, words)],
+                               capture_output=True, text=True)
+        assert (ended.returncode, ended.stderr) == (2, "gateways[0].weight_error: from 2 to less, 1.6\n")
+    script.write_text(open("experiments/unreported.toml").read().replace('weights = "registered"', 'weights = "off"'))
+    with pytest.raises(Misconfigured, match='a weight_error needs proxies.weights = "registered"'):
+        scripts.read(script)
+
+
+def unreported(seed=1, changes=()):
+    script = scripts.read("experiments/unreported.toml", [("seconds", 12), ("event", []), *changes])
+    return play(script, seed)
+
+
+def test_registered_weights_are_off_and_the_gateways_are_not():
+    def registered(seed, changes=()):
+        scene = unreported(seed, changes).scene
+        assert {(gateway.cores, gateway.holds) for gateway in scene.gateways.values()} == {(2, 40), (3, 72), (4, 120)}
+        return {name: entry["share"] / scene.kinds[name][0].weight for name, entry in scene.registry.entries.items()}
+    found = registered(1)
+    assert found == registered(1, [("clients.0.count", 3)]) != registered(2)
+    assert all(0.6 <= factor <= 1.6 for factor in found.values()) and max(found.values()) > 1.8 * min(found.values())
+    exact = [(f"gateways.{place}.weight_error", [1.0, 1.0]) for place in range(3)]
+    assert set(registered(1, exact).values()) == {1.0}
+
+
+def test_nothing_is_probed_or_reported_and_no_line_tells_a_load():
+    result = unreported()
+    assert result.figures["counts"].get("probes", 0) == 0 < result.figures["counts"]["messages in time"]
+    scene = result.scene
+    for gateway in scene.gateways.values():
+        assert gateway.reported is None
+        assert gateway.held_load == pytest.approx(sum(scene.session_loads[link.head.id] for link in gateway.links))
+        assert not any("h" in link.head.values for link in gateway.links)
+    loads = sorted(scene.session_loads.values())
+    assert loads[-1] > 10 * loads[len(loads) // 2] and 0.8 < sum(loads) / len(loads) < 1.25
+
+
+def test_the_front_deals_by_shares():
+    got = Counter(fields["proxy"] for _, kind, fields in unreported().scene.record.events if kind == "open")
+    assert len(got) == 40 and max(got.values()) > 4 * min(got.values())
+    alike = Counter(fields["proxy"] for _, kind, fields in unreported(changes=[("front", {})]).scene.record.events
+                    if kind == "open")
+    assert max(alike.values()) < 3 * min(alike.values())
+
+
+def test_weighted_random_follows_what_is_registered():
+    chance, able = random.Random(1), [SimpleNamespace(weight=1.0), SimpleNamespace(weight=3.0)]
+    drawn = Counter(by_weight(chance, able).weight for _ in range(4000))
+    assert 2.7 < drawn[3.0] / drawn[1.0] < 3.3
+
+
+def test_messages_in_time_are_counted_against_their_listeners_target():
+    counts = unreported().figures
+    strict = unreported(changes=[("listener.0.message_target_ms", 1), ("listener.1.message_target_ms", 1)]).figures
+    assert in_time(counts) > 0.9 and strict["counts"]["messages in time"] == 0 == in_time(strict)
+    assert in_time({"counts": {"messages in time": 6, "unanswered": 2}, "message_ms": {"count": 8}}) == 0.6
+    assert in_time({"counts": {}, "message_ms": {"count": 0}}) is None
--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -71,7 +71,7 @@
 @click.option("--seed", type=int, help="of all chance; the script's own where left out")
 @click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
 @click.option("--policy", default="module", show_default=True,
-              help="module, random, least-connections, two-choices or true-sight (virtual only)")
+              help="module, random, weighted-random, least-connections, two-choices or true-sight (virtual only)")
 @click.option("--mutant", help="instances broken on purpose (lab/judging/mutated)")
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--log", "log_path", type=click.Path(), help="keep every event there, one JSON line each")
--- a/wheathill/lab/cast/clients.py
+++ b/wheathill/lab/cast/clients.py
@@ -1,5 +1,7 @@
 """Stand-ins for clients: each opens a session, lives on it, and comes again, patient or not."""
 
+import math
+
 from wheathill.net.lines import END
 from wheathill.net.machine import Machine
 
@@ -8,13 +10,15 @@
     """Clients of one kind: same listener, desk and habits. Times in ms; `life`, `rest` and `think` are
     means."""
 
-    def __init__(self, host, limits, chance, record, front, listener, runs, *, name, zone, desk, groups, life,
-                 rest, think, gives_up, retry, wait, honours, tries, silence, returns, leaves, mid_flow):
+    def __init__(self, host, limits, chance, record, front, listener, runs, session_loads, *, name, zone, desk, groups,
+                 life, rest, think, gives_up, retry, wait, honours, tries, silence, returns, leaves, mid_flow,
+                 load_sigma):
         self.host, self.limits, self.record, self.front = host, limits, record, front
         self.clock = host.clock
         self.expovariate, self.uniform, self.random = chance.expovariate, chance.uniform, chance.random
         self.listener = listener        # as the script has it
         self.runs = runs                # whether the proxy of a name runs
+        self.session_loads, self.load_sigma, self.normal = session_loads, load_sigma, chance.normalvariate
         self.name, self.zone, self.desk, self.groups = name, zone, desk, groups
         self.life, self.rest, self.think = life, rest, think
         self.gives_up, self.retry, self.wait = gives_up, retry, wait
@@ -140,6 +144,10 @@
             if value:
                 values.append(f"{key}={value}")
         self.opened = self.clock.now()
+        # Known to its server alone: its load is written on no line.
+        if not self.mid:
+            sigma = crowd.load_sigma
+            crowd.session_loads[self.name] = math.exp(crowd.normal(-sigma * sigma / 2, sigma)) if sigma else 1.0
         self.record.note("open", sess=self.name, proxy=self.proxy, listener=crowd.listener.name,
                          crowd=crowd.name, desk=crowd.desk, deadline=crowd.listener.dial_timeout_ms,
                          mid=self.mid,
@@ -198,8 +206,8 @@
             self.end("moved")
         elif word == b"BYE":
             self.end("lived")
-        elif self.asked is not None:
-            self.record.message(self.clock.now() - self.asked)
+        elif self.asked is not None and word != b"LOAD":
+            self.record.message(self.clock.now() - self.asked, self.crowd.listener.message_target_ms)
             self.asked = None
             self.set_timer(self.crowd.expovariate(1.0) * self.crowd.think, self.say)
 
--- a/wheathill/lab/cast/front.py
+++ b/wheathill/lab/cast/front.py
@@ -6,13 +6,15 @@
 
 
 class Front:
-    def __init__(self, host, limits, record, notice, ask_every):
+    def __init__(self, host, limits, record, notice, ask_every, shares, chance):
+        """`shares`: name -> what it gets beside the others, where they are not dealt to in turn."""
         self.host = host
         self.limits = limits
         self.clock = host.clock
         self.record = record
         self.notice = notice
         self.ask_every = ask_every
+        self.shares, self.chance = shares, chance
         self.proxies = {}       # name -> (zone, address)
         self.taking = {}        # those that are dealt to -> which of their starts
         self.starts = 0
@@ -47,13 +49,16 @@
             self.record.note("front drops", proxy=name)
 
     def pick(self, zone):
-        """(proxy, its address), dealt in turn within the zone, or in any zone when it has none; None if no
+        """(proxy, its address), dealt in turn or by shares within the zone, or in any zone when it has none; None if no
         proxy is there at all."""
         names = [name for name in self.taking if self.proxies[name][0] == zone] or list(self.taking)
         if not names:
             return None
-        self.turn += 1
-        name = names[self.turn % len(names)]
+        if self.shares:
+            name = self.chance.choices(names, [self.shares[name] for name in names])[0]
+        else:
+            self.turn += 1
+            name = names[self.turn % len(names)]
         return name, self.proxies[name][1]
 
 
--- a/wheathill/lab/cast/gateway.py
+++ b/wheathill/lab/cast/gateway.py
@@ -13,11 +13,11 @@
 class Gateway:
     """One server, over all its starts. `host` carries it, `store` is called by every set-up, `dedup` tells,
     for each referenced listener, its window in ms and the memory that the gateway's group shares: id -> when
-    it ran."""
+    it ran. `session_loads`: session -> its load beside the mean, as its client has drawn it."""
 
     def __init__(self, name, host, limits, record, chance, store, dedup, *, cores, speed, queue, setup_ms,
                  line_ms, probe_ms, holds, warm_from, warm_s, falls_over, fall_window_ms, falls_at, report_ms,
-                 fields, keeps_ms):
+                 fields, keeps_ms, session_loads, tells_load):
         self.name, self.host = name, host
         self.limits, self.record, self.store, self.dedup = limits, record, store, dedup
         self.clock = host.clock
@@ -29,6 +29,7 @@
         self.falls_over, self.fall_window, self.falls_at = falls_over, fall_window_ms, falls_at
         self.report_every, self.fields = report_ms, fields
         self.keeps = keeps_ms
+        self.session_loads, self.tells_load = session_loads, tells_load
         self.slower = 1.0
         self.costlier = 1.0
         self.tells = 1.0                # its reports tell so many times its load
@@ -43,7 +44,8 @@
         self.busy = 0
         self.work = 0.0                 # ms of core time done, for the report
         self.waiting = deque()
-        self.links = {}                 # connections that are up -> None
+        self.links = {}                 # connections that are up -> the load of each, by mean 1
+        self.held_load = 0.0            # of all that are up
         self.kept = {}                  # session -> until when, for packets that come through another proxy
         self.dialled = deque()          # when, of set-ups while cold
         self.reported = None            # (when, figures, work done by then)
@@ -63,7 +65,7 @@
 
     @property
     def load(self):
-        return len(self.links) * self.costlier * self.slower / (self.holds * self.readiness())
+        return self.held_load * self.costlier * self.slower / (self.holds * self.readiness())
 
     def fall(self, why):
         self.record.note("fell over", server=self.name, why=why, held=len(self.links))
@@ -228,10 +230,15 @@
     def answer_up(self):
         gateway = self.gateway
         self.up = True
-        gateway.links[self] = None
+        load = gateway.session_loads[self.head.id]
+        gateway.links[self] = load
+        gateway.held_load += load
         receipt = f"{gateway.name}/{self.head.id}"
         gateway.record.note("up", server=gateway.name, sess=self.head.id, receipt=receipt)
         self.wire.send(b"UP ", receipt.encode(), END)
+        if gateway.tells_load:
+            # In microseconds of core time a second, as the bench's servers tell it.
+            self.wire.send(b"LOAD %d" % round(load * 1e6 * gateway.cores * gateway.speed / gateway.holds), END)
 
     def line(self):
         if not self.gateway.job(self.gateway.line_ms, self.echo):
@@ -255,7 +262,9 @@
     def note_over(self, how):
         if not self.over:
             self.over = True
-            self.gateway.links.pop(self, None)
+            self.gateway.held_load -= self.gateway.links.pop(self, 0.0)
+            if not self.gateway.links:
+                self.gateway.held_load = 0.0    # sums of fractions leave a rest
             if self.head is not None:
                 self.gateway.record.note("dial over", server=self.gateway.name, sess=self.head.id, how=how)
 
--- a/wheathill/lab/judging/baselines.py
+++ b/wheathill/lab/judging/baselines.py
@@ -1,7 +1,7 @@
 """Policies to compare with, in the lab only: they stand in for the decision module behind the same interface.
 
-Random choice, least connections, the power of two choices (Mitzenmacher 2001), and `true sight`, which reads
-the gateways' true load at the moment of the choice and which no proxy can have.
+Random choice, random choice by registered weight, least connections, the power of two choices (Mitzenmacher 2001), and
+`true sight`, which reads the gateways' true load at the moment of the choice and which no proxy can have.
 """
 
 from functools import partial
@@ -72,6 +72,10 @@
     return rng.choice(able)
 
 
+def by_weight(rng, able):
+    return rng.choices(able, [server.weight for server in able])[0]
+
+
 def least_connections(rng, able):
     return min(able, key=lambda server: (len(server.sessions), rng.random()))
 
@@ -91,13 +95,13 @@
     return min(able, key=load)
 
 
-POLICIES = ("module", "random", "least-connections", "two-choices", "true-sight")
+POLICIES = ("module", "random", "weighted-random", "least-connections", "two-choices", "true-sight")
 
 
 def decisions(policy, gateways):
     """What a proxy is given in the place of Balancer."""
     if policy == "module":
         return Balancer
-    pick = {"random": at_random, "least-connections": least_connections, "two-choices": two_choices,
-            "true-sight": partial(true_sight, gateways)}[policy]
+    pick = {"random": at_random, "weighted-random": by_weight, "least-connections": least_connections,
+            "two-choices": two_choices, "true-sight": partial(true_sight, gateways)}[policy]
     return partial(Baseline, pick)
--- a/wheathill/lab/scripts/language.py
+++ b/wheathill/lab/scripts/language.py
@@ -10,6 +10,7 @@
 
 Times = Annotated[float, Meta(gt=0, le=1000)]
 Many = Annotated[int, Meta(ge=1, le=100_000)]
+Span = Annotated[list[Times], Meta(min_length=2, max_length=2)]     # from, to
 
 ON_GATEWAY = ("silent", "pause", "kill", "back", "erring", "slow", "drain", "list-lies", "by-hand",
               "untrue", "flap")
@@ -62,7 +63,9 @@
     fall_window_ms: Ms = 1000.0
     falls_at: Times = 2.5
     report_ms: Ms = 200.0
+    tells_load: bool = False        # each connection's load, on a line after UP
     weight: Times = 1.0
+    weight_error: Span | None = None    # each registers its weight times a factor drawn between; None: as it is
 
 
 class StoreTable(Table):
@@ -127,6 +130,7 @@
 class FrontTable(Table):
     notice_ms: Wait = 1500.0
     ask_ms: Ms = 100.0
+    shares: Span | None = None      # what a proxy gets beside the others of its zone, drawn between; None: alike
 
 
 class Clients(Table):
@@ -150,6 +154,7 @@
     tries: Many = 5
     returns: bool = True
     leaves: Share = 0.0
+    load_sigma: Annotated[float, Meta(ge=0, le=3)] = 0.0    # of the logarithm of a session's load, by mean 1
 
 
 class Event(Table):
@@ -275,6 +280,12 @@
     for place, kind in enumerate(script.gateways):
         if kind.zone is not None and kind.zone not in script.zones:
             yield f"gateways[{place}].zone: {kind.zone!r} is not one of zones"
+        if kind.weight_error and kind.weight_error[0] > kind.weight_error[1]:
+            yield f"gateways[{place}].weight_error: from {kind.weight_error[0]:g} to less, {kind.weight_error[1]:g}"
+    if script.proxies.weights == "off" and any(kind.weight_error for kind in script.gateways):
+        yield "gateways: a weight_error needs proxies.weights = \"registered\""
+    if script.front.shares and script.front.shares[0] > script.front.shares[1]:
+        yield f"front.shares: from {script.front.shares[0]:g} to less, {script.front.shares[1]:g}"
     for place, crowd in enumerate(script.clients):
         at = f"clients[{place}]"
         if crowd.listener not in listeners:
--- a/wheathill/lab/scripts/record.py
+++ b/wheathill/lab/scripts/record.py
@@ -58,9 +58,10 @@
     def handshake(self, ms):
         self.handshakes.add(self.clock.now(), ms)
 
-    def message(self, ms):
+    def message(self, ms, target):
         now = self.clock.now()
         self.messages.add(now, ms)
+        self.counts["messages in time"] += ms <= target
         # Too many to keep as events, and still part of what two runs must agree on.
         self.digest.update(b"%r %r;" % (now, ms))
 
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -2,6 +2,7 @@
 end."""
 
 import gc
+import math
 import random
 from collections import Counter
 from functools import partial
@@ -43,6 +44,7 @@
         self.seed = seed
         self.limits = stand_in_limits(script)
         self.sessions = {}          # session -> its proxy
+        self.session_loads = {}     # session -> its load at its server, by mean 1
         self.armed = []             # events that wait for a condition
         self.asked = 0
         self.restarts = {}          # proxy -> alarms of its roll
@@ -54,6 +56,10 @@
         """One seed, and for each part its own order of draws."""
         return random.Random(f"{self.seed}/{part}")
 
+    def drawn(self, part, span):
+        """A factor between the two of `span`, as likely to be half as double; 1 without one."""
+        return 1.0 if span is None else math.exp(self.chance(part).uniform(*map(math.log, span)))
+
     def build(self):
         script, world, record = self.script, self.world, self.record
         store = script.store
@@ -77,11 +83,12 @@
                 warm_s=kind.warm_s,
                 falls_over=kind.falls_over, fall_window_ms=kind.fall_window_ms, falls_at=kind.falls_at,
                 report_ms=kind.report_ms, fields=FIELDS,
-                keeps_ms=10_000.0 if script.proxies.packets_pass else 0.0)
+                keeps_ms=10_000.0 if script.proxies.packets_pass else 0.0, session_loads=self.session_loads,
+                tells_load=kind.tells_load)
             gateway.fallen = self.lost
             self.kinds[name] = kind, zone, cell
             self.registry.set(name, site=zone, block=cell, health="ready",
-                              share=kind.weight, born_ms=0)
+                              share=kind.weight * self.drawn(f"weight {name}", kind.weight_error), born_ms=0)
         world.decisions = decisions(self.policy, self.gateways)
         held = any(event.do == "proxy-upgrade" for event in script.event)
         only = [event.do for event in script.event
@@ -100,7 +107,9 @@
             if event.do in ("proxy-starve", "stranger"):
                 raise Misconfigured(f"event: {event.do} is played among processes only")
         front = world.host("front", None, self.limits)
-        self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms)
+        shares = script.front.shares and {name: self.drawn(f"share {name}", script.front.shares) for name, _ in peers}
+        self.front = Front(front, self.limits, record, script.front.notice_ms, script.front.ask_ms, shares,
+                           self.chance("front"))
         self.seats, self.agents = {}, {}
         self.zone_of = dict(peers)
         odd = {item.on: item for item in script.odd}
@@ -123,12 +132,13 @@
             listener = listeners[crowd.listener]
             self.crowds.append((crowd, Crowd(
                 self.people, self.limits, self.chance(crowd.name), record, self.front, listener,
-                lambda name: self.seats[name].running,
+                lambda name: self.seats[name].running, self.session_loads,
                 name=crowd.name, zone=crowd.zone or script.zones[0], desk=crowd.desk, groups=crowd.groups,
                 life=crowd.life_s * 1000, rest=crowd.rest_s * 1000, think=crowd.think_ms,
                 gives_up=crowd.gives_up_ms or listener.dial_timeout_ms + 500.0, retry=crowd.retry,
                 wait=crowd.wait_ms, honours=crowd.honours, tries=crowd.tries, silence=7000.0,
-                returns=crowd.returns, leaves=crowd.leaves, mid_flow=script.proxies.packets_pass)))
+                returns=crowd.returns, leaves=crowd.leaves, mid_flow=script.proxies.packets_pass,
+                load_sigma=crowd.load_sigma)))
 
     def file_of(self, name, zone, agent):
         """What a proxy is told, as an operator's file."""
--- a/wheathill/lab/tools/experiments.py
+++ b/wheathill/lab/tools/experiments.py
@@ -14,8 +14,8 @@
 from wheathill.lab.scripts import language as scripts
 from wheathill.lab.scripts.run import play
 
-SHOWN = ("handshake p50", "handshake p99", "message p50", "message p99", "served", "refused", "failed", "cut",
-         "moved", "dials", "breaches")
+SHOWN = ("handshake p50", "handshake p99", "message p50", "message p99", "in time", "served", "refused", "failed",
+         "cut", "moved", "dials", "breaches")
 
 
 def row(figures):
@@ -24,6 +24,7 @@
     sessions = max(1, counts.get("sessions", 0))
     return {"handshake p50": figures["handshake_ms"]["p50"], "handshake p99": figures["handshake_ms"]["p99"],
             "message p50": figures["message_ms"]["p50"], "message p99": figures["message_ms"]["p99"],
+            "in time": in_time(figures),
             "served": counts.get("answer UP", 0) / sessions,
             "refused": counts.get("answer BUSY", 0) / sessions,
             "failed": (counts.get("answer ERR", 0) + counts.get("broken", 0)) / sessions,
@@ -31,6 +32,14 @@
             "dials": counts.get("dials", 0) / sessions, "breaches": len(figures["breaches"])}
 
 
+def in_time(figures):
+    """The share of messages that met their listener's target; those that nobody answered did not. None: no message,
+    or figures kept before they were counted."""
+    counts = figures["counts"]
+    asked = figures["message_ms"]["count"] + counts.get("unanswered", 0)
+    return counts["messages in time"] / asked if asked and "messages in time" in counts else None
+
+
 def show(value):
     if value is None:
         return "-"
