--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -106,6 +106,14 @@
     sys.exit(experiments.compare(one, other))
 
 
+@lab.command("draw-site")
+@click.option("--seed", type=int, required=True, help="the same one gives the same bytes")
+def draw_site(seed):
+    """Print a site drawn at random, as the operators' bench reads it (docs/lab.md)."""
+    from wheathill.lab.tools import sites
+    click.echo(sites.text(seed), nl=False)
+
+
 class Scale(click.Group):
     """The commands of `lab scale`, imported once one is asked for."""
 
