--- a/wheathill/cli.py
+++ b/wheathill/cli.py
@@ -71,7 +71,7 @@
 @click.option("--seed", type=int, help="of all chance; the script's own where left out")
 @click.option("--world", type=click.Choice(["virtual", "sockets", "processes"]), default="virtual", show_default=True)
 @click.option("--policy", default="module", show_default=True,
-              help="module, random, least-connections, two-choices or true-sight (virtual only)")
+              help="module, random, weighted-random, least-connections, two-choices or true-sight (virtual only)")
 @click.option("--mutant", help="instances broken on purpose (lab/judging/mutated)")
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--log", "log_path", type=click.Path(), help="keep every event there, one JSON line each")
@@ -106,6 +106,14 @@
     sys.exit(experiments.compare(one, other))
 
 
+@lab.command("draw-site")
+@click.option("--seed", type=int, required=True, help="the same one gives the same bytes")
+def draw_site(seed):
+    """Print a site drawn at random, as the operators' bench reads it (docs/lab.md)."""
+    from wheathill.lab.tools import sites
+    click.echo(sites.text(seed), nl=False)
+
+
 class Scale(click.Group):
     """The commands of `lab scale`, imported once one is asked for."""
 
