--- a/tests/test_scale_data.py
+++ b/tests/test_scale_data.py
@@ -88,6 +88,14 @@
     assert rush["delivery_before"]["count"] > 0 and rush["delivery_meanwhile"]["count"] > 0
 
 
+def test_sessions_that_end_in_all_ways_pass():
+    from wheathill.lab.scale import data
+    found = data.endings(102, processes=1, seconds=0.1, seed=1, say=lambda _: None, rounds=2, open_meanwhile=5)
+    assert found["sessions"] == 102 and len(found["rss_kb"]) == 3
+    # Two of 52 are never answered UP, two not asked for, one leaves before.
+    assert found["up"] > 50
+
+
 def test_a_rising_rate_ends_where_it_is_not_kept_up(monkeypatch):
     """The limit is set where the first step is past it: no answer comes in no time."""
     from wheathill.lab.scale import data
