--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -84,10 +84,11 @@
 
 @pytest.fixture(scope="module")
 def mixed():
-    """Thirty hollow proxies and six real ones with sessions: (exit code, object, what was said). A region is cut off; a real
-    one dies, one is restarted, and one is told of the last of three drains."""
-    done = subprocess.run(command("--members", 36, "--real", 6, "--sessions", 3, "--zones", 6, "--regions", 3, "--seconds", 26,
-                                  "--loss", 0.01, "--cut", "r2", "--churn", 2, "--seed", 5, "--processes", 3),
+    """Thirty hollow proxies and six real ones with sessions: (exit code, object, what was said). A region is cut off;
+    a real one dies, one is restarted, and one is told of the last of three drains."""
+    done = subprocess.run(command("--members", 36, "--real", 6, "--sessions", 3, "--zones", 6, "--regions", 3,
+                                  "--seconds", 26, "--loss", 0.01, "--cut", "r2", "--churn", 2, "--seed", 5,
+                                  "--processes", 3),
                           capture_output=True, text=True, timeout=180)
     return done.returncode, json.loads(done.stdout), done.stderr
 
@@ -115,11 +116,11 @@
 
 @pytest.fixture(scope="module")
 def released():
-    """Sixty members, six of them real: two of a zone die at once, what leaves a region is lost for a while, and then each is
-    restarted, a tenth at a time: (exit code, object, what was said)."""
-    done = subprocess.run(command("--members", 60, "--real", 6, "--zones", 6, "--regions", 3, "--seconds", 20, "--loss", 0.01,
-                                  "--cut-out", "r2", "--rack", "z1", "--deaths", 0, "--release", 8, "--seed", 6,
-                                  "--processes", 4),
+    """Sixty members, six of them real: two of a zone die at once, what leaves a region is lost for a while, and then
+    each is restarted, a tenth at a time: (exit code, object, what was said)."""
+    done = subprocess.run(command("--members", 60, "--real", 6, "--zones", 6, "--regions", 3, "--seconds", 20,
+                                  "--loss", 0.01, "--cut-out", "r2", "--rack", "z1", "--deaths", 0, "--release", 8,
+                                  "--seed", 6, "--processes", 4),
                           capture_output=True, text=True, timeout=240)
     return done.returncode, json.loads(done.stdout), done.stderr
 
@@ -168,9 +169,10 @@
     assert 1.0 < found["messages_per_s"]["mean"] < 12.0 and found["rate_of_time"] == 1.5
 
 
-def test_nothing_is_left_of_a_run_that_is_killed():
-    tool = subprocess.Popen(command("--members", 24, "--zones", 2, "--regions", 1, "--seconds", 60, "--processes", 3),
-                            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+@pytest.mark.parametrize("real, processes", [(0, 4), (3, 8)])       # one without members; one of stand-ins
+def test_nothing_is_left_of_a_run_that_is_killed(real, processes):
+    tool = subprocess.Popen(command("--members", 24, "--zones", 2, "--regions", 1, "--seconds", 60, "--processes", 3,
+                                    "--real", real), stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
 
     def children():
         try:
@@ -179,7 +181,7 @@
         except OSError:
             return []
     try:
-        wait_for(lambda: len(children()) == 4)       # one without members
+        wait_for(lambda: len(children()) == processes)
         here = children()
         tool.send_signal(signal.SIGKILL)
         tool.wait()
@@ -248,10 +250,11 @@
     cut = judge.Cut(layout(), 1, 10.0, 30.0)        # members 1 and 4
     starts = {0: [0.0], 1: [0.0], 2: [0.0, 40.0], 4: [0.0]}
     changes = {"c": (0, 12.0), "d": (0, 13.0)}
-    opens = [("c", 0, 11.0), ("c", 0, 18.4), ("c", 0, 18.6), ("c", 1, 36.4), ("c", 4, 36.6), ("c", 2, 46.4), ("c", 2, 39.9),
-             ("s", 0, 90.0)]
+    opens = [("c", 0, 11.0), ("c", 0, 18.4), ("c", 0, 18.6), ("c", 1, 36.4), ("c", 4, 36.6), ("c", 2, 46.4),
+             ("c", 2, 39.9), ("s", 0, 90.0)]
     found = judge.opened_anew(opens, changes, starts, cut, 6.5)
-    assert found["opened_anew"] == 3 and [late[:2] for late in found["opened_anew_first"]] == [["c", 0], ["c", 4], ["c", 2]]
+    assert found["opened_anew"] == 3
+    assert [late[:2] for late in found["opened_anew_first"]] == [["c", 0], ["c", 4], ["c", 2]]
     assert found["never_in_use"] == ["d"]
 
 
@@ -369,7 +372,8 @@
 
 def test_across_a_way_cut_in_one_direction_only_datagrams_arrive_the_other_way():
     async def test(two):
-        here, there = two.one.datagrams(two.ends[1], two.layout.where(0)), two.other.datagrams(two.ends[2], two.layout.where(1))
+        here = two.one.datagrams(two.ends[1], two.layout.where(0))
+        there = two.other.datagrams(two.ends[2], two.layout.where(1))
         two.shape.set_cut(1, out=True)
         here.send(b"in", two.layout.where(1))
         there.send(b"out", two.layout.where(0))
--- a/tests/test_zone_names.py
+++ b/tests/test_zone_names.py
@@ -1,4 +1,4 @@
-"""Zones whose names go wrong, in the virtual world: one that is renamed, and a member whose file names another's zone."""
+"""Zones whose names go wrong, in the virtual world: one that is renamed, and a member whose file names a wrong one."""
 
 import pytest
 
@@ -40,8 +40,8 @@
 
 
 def test_a_zone_renamed_in_place_is_two_zones_for_a_while_and_parts_still_hold():
-    """Neither layout knows the other's name, and nothing of one is heard in the other; but as no member takes more than one
-    over the number that the layout names, those of both names together take one part."""
+    """Neither layout knows the other's name, and nothing of one is heard in the other; but as no member takes more than
+    one over the number that the layout names, those of both names together take one part."""
     fleet = started(1)
     parts = {"d1" if name == "c1" else name: part for name, part in PARTS.items()}
     fleet.layouts[2] = renamed(fleet, 2, parts, parts)
@@ -50,7 +50,7 @@
     fleet.run(10)
     old, new = fleet.names["c1"][2:], fleet.names["c1"][:2]
     assert shares(fleet, old) > 0.0 and shares(fleet, new) > 0.0
-    # Their names are the processes before, whose address others have now: known to be gone, though something answers there.
+    # The processes before, whose addresses others have now, are known to be gone, though something answers there.
     assert [member.name for member in fleet.peers[old[0]].membership.alive()] == old
     since = fleet.change("g", new[0])
     fleet.run(6)
@@ -84,8 +84,8 @@
 
 @pytest.mark.parametrize("seed, loss", [(1, 0.0), (2, 0.02), (3, 0.25)])
 def test_a_zone_renamed_by_way_of_a_layout_that_has_both_names_never_passes_the_whole(seed, loss):
-    """First all get a file in which the old name gives its part to the new one; then its members go by the new name; then the
-    old one is written out."""
+    """First all get a file in which the old name gives its part to the new one; then its members go by the new name;
+    then the old one is written out."""
     fleet = started(seed, loss)
     both = {**PARTS, "c1": 0.0, "d1": PARTS["c1"]}
     fleet.layouts[2] = renamed(fleet, 2, both, {**PARTS, "d1": 0.0})
@@ -107,8 +107,8 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_member_whose_zone_is_wrong_is_one_of_the_zone_that_it_names(seed):
-    """In zone a1, by its file in b1, which is taken for true: it is met in b1 and missing in a1. b1's part is split six ways,
-    of a1's a fifth lies unused, so sums stay under the whole."""
+    """In zone a1, by its file in b1, which is taken for true: it is met in b1 and missing in a1. b1's part is split six
+    ways, of a1's a fifth lies unused, so sums stay under the whole."""
     fleet = Fleet(ZONES, seed, loss=0.02)
     wrong, *right = fleet.names["a1"]
     fleet.zone_of[wrong] = "b1"
@@ -122,11 +122,12 @@
     since = fleet.change("g", wrong)
     fleet.run(6)
     assert len(fleet.in_force("g", since)) == 17 and max(fleet.in_force("g", since)) < 6.0
-    # A cut of the region where it stands parts it from its zone, and not from its neighbours: it is alone, and told nothing.
+    # A cut of the region where it stands parts it from its zone, and not from its neighbours: it is cut off.
     region = [*fleet.names["a1"], *fleet.names["a2"]]
     fleet.cut(region)
     fleet.run(30)
-    assert fleet.peers[wrong].state() == CUT_OFF and {fleet.peers[name].state() for name in fleet.names["a2"]} == {AGREED}
+    assert fleet.peers[wrong].state() == CUT_OFF
+    assert {fleet.peers[name].state() for name in fleet.names["a2"]} == {AGREED}
     fleet.cut(region, False)
     assert fleet.until(lambda: shares(fleet, met) == pytest.approx(PARTS["b1"]), 30) is not None
     assert fleet.over == [], fleet.over[:3]
--- a/wheathill/lab/scale/commands.py
+++ b/wheathill/lab/scale/commands.py
@@ -23,10 +23,10 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "json_path", type=click.Path(), help="keep the figures there")
 @click.option("--kill-zone", metavar="ZONE", help="z1, z2, ...: all its processes die at once")
-@click.option("--cut-out", metavar="REGION", help="as --cut, but only what leaves it is lost: a way cut in one direction")
+@click.option("--cut-out", metavar="REGION", help="as --cut, but only what leaves it is lost")
 @click.option("--rack", metavar="ZONE", help="z1, z2, ...: a twentieth of it, two at the least, dies at once")
 @click.option("--release", type=click.FloatRange(0.0), metavar="SECONDS",
-              help="each is restarted once after the faults, a tenth at a time; the next when views are right, or after that")
+              help="all are restarted after the faults by tenths; the next when views are right, or after so long")
 @click.option("--deaths", type=click.IntRange(0), default=1, show_default=True, help="single processes that die for good")
 @click.option("--churn", type=click.IntRange(0), default=0, show_default=True, help="processes restarted during the faults")
 @click.option("--changes", type=click.IntRange(0, 100), default=3, show_default=True, help="issued at one member")
@@ -48,7 +48,7 @@
 @click.option("--sessions", type=click.FloatRange(0.0, 100.0), default=2.0, show_default=True,
               help="a second, that visitors open at each real one")
 def fleet(json_path, stretch, no_shape, no_faults, **told):
-    """Run hollow proxies, and real ones among them, and judge them from outside; exit with 1 if something did not hold."""
+    """Run hollow and real proxies and judge them from outside; exit with 1 if something did not hold."""
     from wheathill.lab.scale import fleet as runs
     found = runs.play(runs.Plan(rate=stretch, shaped=not no_shape, faults=not no_faults, **told), say)
     keep(found, json_path)
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -1,4 +1,4 @@
-"""One run of a fleet of hollow proxies, and some real ones among them: it starts, rests, is measured, meets faults and is judged.
+"""One run of a fleet of hollow and real proxies: it starts, rests, is measured, meets faults and is judged.
 
 All times are the fleet's own seconds; `rate` says how many of the machine's go into one.
 """
@@ -74,7 +74,8 @@
         self.out = plan.cut_out is not None
         self.region = self.zone = self.rack = None
         if plan.cut is not None or self.out:
-            self.region = region_of(plan.cut_out if self.out else plan.cut, self.layout, "--cut-out" if self.out else "--cut")
+            cut, option = (plan.cut_out, "--cut-out") if self.out else (plan.cut, "--cut")
+            self.region = region_of(cut, self.layout, option)
         if plan.kill_zone is not None:
             self.zone = zone_of(plan.kill_zone, self.layout)
         if plan.rack is not None:
@@ -121,8 +122,8 @@
         try:
             await self.crews.begin(plan.rate, plan.loss, plan.shaped, plan.sockets)
             await self.reals.begin(plan.rate, plan.loss, plan.shaped, plan.sockets)
-            self.say(f"{plan.members - plan.real} hollow proxies in {len(self.crews.workers) - 1} processes, {plan.real} "
-                     f"real ones, zones {'told' if self.layout.zoned else 'not told'}")
+            self.say(f"{plan.members - plan.real} hollow proxies in {len(self.crews.workers) - 1} processes, "
+                     f"{plan.real} real ones, zones {'told' if self.layout.zoned else 'not told'}")
             idle = await self.crews.all("figures")
             await asyncio.sleep(1.0)
             self.idle = [(after["cpu_s"] - before["cpu_s"]) / (after["now"] - before["now"]) * 1000
@@ -329,8 +330,8 @@
         self.say(f"{told:.1f} s: r{self.region + 1} is {'cut off' if on else 'back'}")
 
     async def release(self):
-        """Each that runs is restarted once, a tenth at a time; the next tenth when all views are right, or after the stated
-        time. The last change is told amid it, to one that comes last."""
+        """Each that runs is restarted once, a tenth at a time; the next tenth when all views are right, or after the
+        stated time. The last change is told amid it, to one that comes last."""
         await self.judge_now()
         last = [number for number in dict.fromkeys((self.spared, self.issuer)) if number in self.starts]
         numbers = [number for number in self.starts if number not in last]
@@ -408,7 +409,8 @@
         """Of all changes, `of` "all" or "real" ones."""
         shown = [each[of] for each in self.shown]
         return {"change_in_force_s": judge.spread([took for each in shown for took in each["in_force"]], 3),
-                "changes_late": sum(each["late"] for each in shown), "changes_open": sum(each["open"] for each in shown),
+                "changes_late": sum(each["late"] for each in shown),
+                "changes_open": sum(each["open"] for each in shown),
                 "not_reached": len(dict.fromkeys(number for each in shown for number in each["lacked"]))}
 
     async def judged(self):
--- a/wheathill/lab/scale/hollow.py
+++ b/wheathill/lab/scale/hollow.py
@@ -390,7 +390,7 @@
 
 
 def main(make=Crew):
-    """Carries out what it is told until its standard input ends; `make(loop)`: whatever has `call`, `log` and `watch`."""
+    """Carries out what it is told until its standard input ends. `make(loop)`: what has `call`, `log` and `watch`."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     asyncio.run(serve(make))
--- a/wheathill/lab/scale/honest.py
+++ b/wheathill/lab/scale/honest.py
@@ -33,8 +33,8 @@
         self.control = os.path.join(folder, f"{name}.control")
         path = os.path.join(folder, f"{name}.toml")
         with open(path, "w") as out:
-            out.write(operators_file(name, f"127.0.0.1:{free_port()}", [{"name": "all"}], [("s", "127.0.0.1:1", "ready")],
-                                     meant, told, key_path, self.control))
+            out.write(operators_file(name, f"127.0.0.1:{free_port()}", [{"name": "all"}],
+                                     [("s", "127.0.0.1:1", "ready")], meant, told, key_path, self.control))
         self.process = subprocess.Popen([sys.executable, "-m", "wheathill.lab.scale.memory", "daemon", path],
                                         stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
                                         preexec_fn=dies_with_the_lab,
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -84,8 +84,8 @@
 
 
 def opened_anew(opens, changes, starts, cut, within):
-    """Of sessions that servers were asked for: how many came to a drained one later than `within` after their proxy could
-    have had the drain, and whether each drained server had had some before.
+    """Of sessions that servers were asked for: how many came to a drained one later than `within` after their proxy
+    could have had the drain, and which drained servers had had none before.
 
     `opens`: [(server, proxy, when)]; `changes` as above; `starts`: {proxy: starts of its processes, in order}."""
     late, before = [], dict.fromkeys(changes, 0)
--- a/wheathill/lab/scale/member.py
+++ b/wheathill/lab/scale/member.py
@@ -23,8 +23,9 @@
 def operators_file(name, listen, listeners, servers, meant, told=None, key_path=None, control=None, **more):
     """The text of a file as an operator writes it. `servers`: [(name, "HOST:PORT", state)]; `meant`: proxies in all;
     `told`: a `config.peers.Told`, or None for one without peers."""
+    listed = [{"name": server, "address": where, "state": state} for server, where, state in servers]
     values = {"name": name, "listen": listen, "listener": listeners, "seed": name, "fleet": {"proxies": meant},
-              "server": [{"name": server, "address": where, "state": state} for server, where, state in servers], **more}
+              "server": listed, **more}
     if told:
         zones = {"zone": told.zone, "layout": told.layout.version, "zones": [
             {"name": zone.name, "proxies": zone.proxies, "seeds": list(zone.seeds), "region": zone.region,
--- a/wheathill/lab/scale/reals.py
+++ b/wheathill/lab/scale/reals.py
@@ -51,8 +51,8 @@
         folder = os.path.join(self.folder.name, self.layout.name(number))
         os.makedirs(folder, exist_ok=True)
         worker = self.workers[number] = await begin("member", TMPDIR=folder)
-        await ask(worker, {"do": "build", "number": number, "region": self.region, "out": self.out, "servers": self.servers,
-                           "path": os.path.join(folder, "file.toml"), **self.told})
+        await ask(worker, {"do": "build", "number": number, "region": self.region, "out": self.out,
+                           "servers": self.servers, "path": os.path.join(folder, "file.toml"), **self.told})
 
     async def all(self, do, **order):
         """The answers of all that run."""
@@ -113,18 +113,17 @@
     # What they showed
 
     async def judged(self, changes, since, cut, within):
-        """What visitors and servers saw; `changes` as `judge.changes_in_force`, `since(ms)` gives the fleet's seconds."""
+        """What visitors and servers saw; `changes` as `judge.changes_in_force`; `since(ms)`: the fleet's seconds."""
         found = await ask(self.visits, {"do": "judged"})
         opens = [(server, proxy, since(when)) for server, proxy, when in found["opens"]]
         starts = {number: [since(when) for when in told] for number, told in self.starts.items()}
-        ways = {}
-        for told in found["by_proxy"].values():
+        ways, by_proxy = {}, found["by_proxy"]
+        for told in by_proxy.values():
             for how, count in told.items():
                 ways[how] = ways.get(how, 0) + count
         return {"sessions": ways, "lines": found["lines"], "open_at_end": found["open"],
                 "up_after_ms": judge.spread(found["took_ms"], 2),
-                "fewest_up_at_one": min((found["by_proxy"].get(str(number), {}).get("up", 0) for number in self.numbers),
-                                        default=0),
+                "fewest_up_at_one": min(by_proxy.get(str(number), {}).get("up", 0) for number in self.numbers),
                 **judge.opened_anew(opens, changes, starts, cut, within + GRACE),
                 "still_at_drained": sum(found["still"].get(server, 0) for server in changes),
                 "faults": found["counts"]}
--- a/wheathill/peers/zoned.py
+++ b/wheathill/peers/zoned.py
@@ -74,8 +74,8 @@
     # What membership calls for
 
     def knock(self, name, birth, address, wait, why):
-        """A process may have taken the address that is of another zone now, by its file: nobody of this one ever meets it, and
-        its connections come up all the same. That the one before is gone is what links have found since then."""
+        """A process may have taken the address that is of another zone now, by its file: nobody of this one ever meets
+        it, and its connections come up all the same. That the one before is gone is what links have found since."""
         began = self.clock.now()
 
         def told(how):
