A reset takes back its own set-up's result; a few servers' deaths no longer stop all set-ups

Each reset of a session that had been set up was noted as one more failed dial (Balancer.on_outcome to Health.dialled), so that the sessions of three servers, reset within a millisecond, filled the last sixteen results on their own: "set-ups fail at many servers", and the set-ups under way were halved.

Change: a reset corrects the result of that session's own set-up, if it is among the last few, and adds none. A store that sheds what it has just let up is seen as before, and sooner: trace store_sheds halves after the fourth of eight resets, after the eighth before. Trace some_die: 256 set-ups at once after 25 of 60 sessions were reset, 0.5 before.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -285,6 +285,41 @@
     return d.lines
 
 
+def some_die():
+    """Three of ten servers die with all that they hold. What is reset was set up well, and the seven others go on taking
+    set-ups, as many at once as before."""
+    d = Drive()
+    d.list(*(f"s{i}" for i in range(10)), kind=ListKind.CACHED)
+    d.loud = False
+    placed = []
+    for i in range(60):
+        d.now += 100.0
+        placed.append(d.accept(f"a {i}"))
+    d.loud = True
+    lost = [sess for sess in placed if sess.server.name in ("s0", "s1", "s2")]
+    for sess in lost:
+        d.now += 0.1
+        d.outcome(sess, Outcome.RESET)
+    d.say(f"{len(lost)} of 60 were reset; {d.balancer.first.window:g} set-ups at once")
+    return d.lines
+
+
+def store_sheds():
+    """What all set-ups depend on is swamped, and those that it let up are reset soon after, at all servers."""
+    d = Drive()
+    d.list(*FLEET, kind=ListKind.CACHED)
+    d.loud = False
+    placed = []
+    for i in range(8):
+        d.now += 100.0
+        placed.append(d.accept(f"a {i}"))
+    d.loud = True
+    for sess in placed:
+        d.now += 200.0
+        d.outcome(sess, Outcome.RESET)
+    return d.lines
+
+
 def store_swamped_among_many():
     """One proxy of hundreds: two failures in a row at unlike servers are all that it sees."""
     d = Drive(loads=dict.fromkeys(FLEET, 0.3), proxies=300, most_dials=6)
@@ -596,7 +631,7 @@
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
                                            overload, without_probes, groups_meet,
-                                           told_late, asked_first, store_swamped, store_swamped_among_many,
+                                           told_late, asked_first, store_swamped, some_die, store_sheds, store_swamped_among_many,
                                            list_out_of_reach, odd_input)}
 
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -489,6 +489,13 @@
         self.dials.append((now, server, well))
         server.results.append((now, well))
 
+    def broke(self, now, server, accepted):
+        """A session was reset that had been set up. If its set-up is among the last few, that is what failed, and
+        no other one: all sessions of a server that dies are reset at once, and are one server's trouble."""
+        server.results.append((now, False))
+        if (accepted, server, True) in self.dials:
+            self.dials[self.dials.index((accepted, server, True))] = accepted, server, False
+
     def silent(self, server):
         return server.silent >= 2
 
@@ -985,7 +992,7 @@
     def on_outcome(self, now, sess, outcome, closed):
         self.forget(sess)
         if outcome is Outcome.RESET and sess.accepted is not None:
-            self.health.dialled(now, sess.server, False)
+            self.health.broke(now, sess.server, sess.accepted)
             if now - sess.accepted < self.EARLY:
                 self.first.failed(now)
         if closed or sess.ended:
