A suspicion that begins anew is looked at a period later at the earliest: no endless loop, no storm of knocks

Cause: among few members a suspicion is shorter (3 periods) than the last knock takes (3.5), so that the knock is due as soon as the suspicion begins. Where it began anew because this instance had stood still and was not yet answered, the alarm rang at once, again and again; where the member's machine took the connection and said nothing, the next knock followed the last one at once. Found by random faults in the virtual world: a play of 60 s that had not ended after 19 minutes.

Change: `Membership.renew` notes when that was, and `last_call` is a period later at least. The first knock of a suspicion is as early as before.

Also the judge of views: who was buried out of reach and stands still when the cut is over can't deny it, and was judged as if.

Measured: the new test of alarms and knocks, 16 cases: 12 fail before (thousands of alarms in the first two seconds, in 8 of them at one and the same moment), none now.

--- a/tests/test_fleet_judges.py
+++ b/tests/test_fleet_judges.py
@@ -222,6 +222,16 @@
     assert [text.partition(" after")[0] for text in views.breaches()] == ["a views differ 7251 ms"]
 
 
+def test_who_was_buried_out_of_reach_can_t_deny_it_while_it_stands_still(views):
+    views.until(4000.0).stop("b")
+    views.until(4250.0).cut = ["a b", "b c", "b d"]
+    assert views.until(9000.0).says("a", b="dead") == []
+    views.cut = []
+    assert views.until(14_000.0).says("a", b="dead") == []
+    views.go_on("b")
+    assert views.until(19_000.0).says("a", b="dead") == [] != views.until(19_500.0).says("a", b="dead")
+
+
 # Shares
 
 def test_what_a_process_said_is_not_the_next_one_s():
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,10 +1,14 @@
 """Membership in the virtual world: who is found gone, who is not accused wrongly, and how names are held."""
 
+import heapq
+import itertools
+import random
+
 import pytest
 
 from drive import kept
 from wheathill.lab.cores.members import Cluster, measure
-from wheathill.peers.membership import ALIVE, Member, Membership, Rumours
+from wheathill.peers.membership import ALIVE, DEAD, SUSPECT, Member, Membership, Rumours
 
 
 def states(cluster, name, of=None):
@@ -179,3 +183,54 @@
     for instance in cluster.running():
         instance.membership.hear(cluster.clock.now(), [[*stale, "i004"]])
         assert "i002" not in instance.membership.members
+
+
+class Alone:
+    """What a membership calls for, in its own time; who is sent anything says nothing."""
+
+    def __init__(self, answer):
+        self.now, self.alarms, self.rang, self.knocks = 0.0, [], 0, []
+        self.answer = answer        # what a knock finds, at once or after its wait
+        self.send = self.changed = self.log = lambda *args: None
+
+    def alarm(self, at, what):
+        heapq.heappush(self.alarms, (at, next(self.order), what))
+
+    order = itertools.count()
+
+    def knock(self, name, birth, address, wait, why):
+        self.knocks.append(self.now)
+        at = self.now + (1.0 if self.answer == "up" else wait)
+        heapq.heappush(self.alarms, (at, next(self.order), ("knocked", name, birth, why)))
+
+    def run(self, membership, until, most):
+        while self.alarms[0][0] <= until:
+            self.now, _, what = heapq.heappop(self.alarms)
+            self.rang += 1
+            assert self.rang < most, f"{self.rang} alarms by {self.now:.0f} ms"
+            if what[0] == "knocked":
+                membership.on_knock(self.now, *what[1:3], self.answer, what[3])
+            else:
+                membership.on_alarm(self.now, what)
+        self.now = until
+
+
+@pytest.mark.parametrize("count", [2, 3, 4, 7])
+@pytest.mark.parametrize("answer", ["up", "nothing"])
+@pytest.mark.parametrize("starved", [False, True])
+def test_suspects_that_can_t_be_buried_are_looked_at_now_and_then(count, answer, starved):
+    """By one that was stopped itself and is answered by nobody, or of members whose machines take connections while they
+    stand still. Among few a suspicion is shorter than the last knock; that is no cause to look without a pause."""
+    actions = Alone(answer)
+    membership = Membership(actions, random.Random(1), "a", "h:1", 1, period=1000.0, patience=300.0, helpers=3,
+                            kept=60_000.0, sync_every=10_000.0)
+    membership.start(0.0, [])
+    others = [f"b{number}" for number in range(1, count)]
+    membership.hear(0.0, [[ALIVE, name, f"h:{name}", 0, 5, name] for name in others])
+    membership.hear(0.0, [[SUSPECT, name, f"h:{name}", 0, 5, by] for name in others for by in (*others, "c", "d")])
+    if starved:
+        membership.wake(1.0, 500.0)
+    actions.run(membership, 30_000.0, 60 * 30 * count)
+    assert len(actions.knocks) <= 2 * 30 * count
+    suspects = {membership.members[name].state for name in others}
+    assert suspects == ({SUSPECT} if answer == "up" or starved else {DEAD})
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -29,7 +29,7 @@
     one."""
 
     __slots__ = ("name", "address", "incarnation", "birth", "state", "since", "accusers", "deadline", "heard",
-                 "doubted", "buried", "told", "certain", "claimed")
+                 "doubted", "buried", "told", "certain", "claimed", "renewed")
 
     def __init__(self, name, address, incarnation, birth, state, since):
         self.name, self.address, self.incarnation, self.birth = name, address, incarnation, birth
@@ -42,6 +42,7 @@
         self.told = -1              # incarnation of which others say that it is dead, while that is looked into
         self.certain = False        # its death was seen: its machine refuses connections
         self.claimed = None         # birth of the last that claimed its name
+        self.renewed = None         # when its suspicion last began anew
 
     def words(self):
         return [self.state, self.name, self.address, self.incarnation, self.birth]
@@ -230,8 +231,7 @@
             member = self.members[name]
             member.doubted = member.buried = None
             if member.state == SUSPECT:
-                member.since = now
-                self.set_deadline(now, member)
+                self.renew(now, member)
 
     def begin_probe(self, now):
         if self.alone:
@@ -358,8 +358,7 @@
         elif how == "up":
             # It stands still, or its datagrams are lost: a death is neither.
             if member.state == SUSPECT:
-                member.since = now
-                self.set_deadline(now, member)
+                self.renew(now, member)
         elif self.woke is not None or since is None or member.heard > since or why == "claim":
             if member.state == SUSPECT:
                 self.set_deadline(now, member)
@@ -714,7 +713,7 @@
 
     def accuse(self, now, member, incarnation, by):
         member.state, member.incarnation, member.since = SUSPECT, incarnation, now
-        member.accusers = (by,)
+        member.accusers, member.renewed = (by,), None
         self.set_deadline(now, member)
         self.rumours.add(member, by)
         self.actions.changed(member, ALIVE)
@@ -740,9 +739,17 @@
         member.deadline = member.since + wait
         self.actions.alarm(max(now, self.last_call(member)), "suspects")
 
+    def renew(self, now, member):
+        """Its suspicion begins anew."""
+        member.since = member.renewed = now
+        self.set_deadline(now, member)
+
     def last_call(self, member):
-        """When the last knock has to begin."""
-        return member.deadline - self.BURIAL[self.lossy] * self.period
+        """When the last knock has to begin. Among few a suspicion is shorter than that knock takes: it would be due as soon
+        as it begins anew, again and again without an end where that is because this instance may bury nobody yet, or
+        because the member's machine answers each knock at once."""
+        due = member.deadline - self.BURIAL[self.lossy] * self.period
+        return due if member.renewed is None else max(due, member.renewed + self.period)
 
     def end_suspicions(self, now):
         """Nobody is buried whom a connection still reaches, nor by one that was stopped itself."""
@@ -752,7 +759,6 @@
                     now < self.last_call(member):
                 continue
             if self.woke is not None:
-                member.since = now
-                self.set_deadline(now, member)
+                self.renew(now, member)
             else:
                 self.knock_last(now, member)
