--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -288,7 +288,8 @@
             views = await self.views()
             if views["right"] == len(self.starts):
                 return self.now()
-            await self.until(min(end, self.now() + max(0.5, self.plan.members / 200)))
+            # To look at all costs the machine's time, whatever the fleet's.
+            await self.until(min(end, self.now() + max(0.5, self.plan.members / 200 / self.plan.rate)))
         return None
 
     async def kill(self, numbers):
