Scale judge names the changes that came late: which member, since when

The count alone (1 of 2,793 at 1,000 members with a quarter lost, 6.5 s) does not say whether it was a newcomer, across the cut or neither. The test now asks for the pair where it asked for the count.

--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -230,7 +230,7 @@
     began = {0: 0.0, 1: 0.0, 2: 0.0, 3: 0.0, 4: 40.0, 5: 47.0}
     found = judge.changes_in_force({"c": (0, 12.0)}, told, began, cut, 50.0, 6.0)
     assert sorted(found["in_force"]) == [0.0, 3.0, 5.0, 7.5]
-    assert found["lacked"] == [3] and found["late"] == 1 and found["open"] == 1
+    assert found["lacked"] == [3] and found["late"] == [["c", 2, 12.0, 7.5]] and found["open"] == 1
 
 
 def test_news_into_a_region_from_which_nothing_leaves_has_no_excuse():
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -410,7 +410,8 @@
         """Of all changes, `of` "all" or "real" ones."""
         shown = [each[of] for each in self.shown]
         return {"change_in_force_s": judge.spread([took for each in shown for took in each["in_force"]], 3),
-                "changes_late": sum(each["late"] for each in shown),
+                "changes_late": sum(len(each["late"]) for each in shown),
+                "changes_late_first": [late for each in shown for late in each["late"]][:5],
                 "changes_open": sum(each["open"] for each in shown),
                 "not_reached": len(dict.fromkeys(number for each in shown for number in each["lacked"]))}
 
--- a/wheathill/lab/scale/judge.py
+++ b/wheathill/lab/scale/judge.py
@@ -48,9 +48,9 @@
 
     `changes`: {server: (member it was issued at, when)}; `told`: {member: {server: when}}; `began`: {member: start of its
     process}; `within`: seconds in which one that could have it has to. Returns {"in_force": seconds each, "lacked":
-    members that lacked one at the end, after that time, "late": how many of the pairs took longer, "open": pairs that
-    had not had the time."""
-    in_force, lacked, late, still = [], {}, 0, 0
+    members that lacked one at the end, after that time, "late": [server, member, since when, how long] of the pairs that
+    took longer, "open": pairs that had not had the time."""
+    in_force, lacked, late, still = [], {}, [], 0
     for server, (issuer, when) in changes.items():
         for member, start in began.items():
             since = max(cut.since(issuer, member, when), start)
@@ -58,7 +58,8 @@
             if got is not None:
                 took = max(0.0, got - since)
                 in_force.append(took)
-                late += took > within
+                if took > within:
+                    late.append([server, member, round(since, 2), round(took, 2)])
             elif end - since >= within:
                 lacked[member] = None
             else:
