The judge of zones knows of parts of a zone that are cut off from all others

Cause: "says that it is cut off, and is not" asked whether the whole zone was out of reach. Two of a zone's three members that a cut left without the third and without every other zone said rightly that they were cut off. Found by random faults.

Change: asked is whether the member reaches any other zone, by way of others if need be; one that does by its own zone still breaks the rule.

Of the two new tests the first fails before.

--- a/tests/test_fleet_judges.py
+++ b/tests/test_fleet_judges.py
@@ -133,6 +133,18 @@
         "a says that the fleet is in doubt, 10251 ms after all was well"]
 
 
+def test_a_part_of_a_zone_that_is_cut_off_from_all_says_so(zones):
+    zones.until(5750.0).cut = ["a b", "a c", "a d"]
+    assert zones.until(14_000.0).says("a", "cut off") == []
+    assert zones.says("b", "cut off") == ["b says that it is cut off, and is not"]
+
+
+def test_who_reaches_others_by_its_own_zone_is_not_cut_off(zones):
+    zones.until(5750.0).cut = ["a c", "a d"]
+    assert zones.until(10_750.0).says("a", "cut off") == []
+    assert zones.until(11_250.0).says("a", "cut off") == ["a says that it is cut off, and is not"]
+
+
 # Views
 
 @pytest.fixture
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -219,8 +219,8 @@
 @pytest.mark.parametrize("answer", ["up", "nothing"])
 @pytest.mark.parametrize("starved", [False, True])
 def test_suspects_that_can_t_be_buried_are_looked_at_now_and_then(count, answer, starved):
-    """By one that was stopped itself and is answered by nobody, or of members whose machines take connections while they
-    stand still. Among few a suspicion is shorter than the last knock; that is no cause to look without a pause."""
+    """By one that was stopped itself and is answered by nobody, or of members whose machines take connections while
+    they stand still. Among few a suspicion is shorter than the last knock; that is no cause to look without a pause."""
     actions = Alone(answer)
     membership = Membership(actions, random.Random(1), "a", "h:1", 1, period=1000.0, patience=300.0, helpers=3,
                             kept=60_000.0, sync_every=10_000.0)
--- a/wheathill/lab/judging/fleet.py
+++ b/wheathill/lab/judging/fleet.py
@@ -11,9 +11,9 @@
 
 
 class Awake:
-    """Since when each process can know what befalls: it listens, and doesn't stand still. A new process under a name, and
-    one that goes on after a stop, answer for nothing that befell before that; truth that is looked at now and then doesn't
-    always show a short stop or a quick restart, so that what is done to hosts counts as well."""
+    """Since when each process can know what befalls: it listens, and doesn't stand still. A new process under a name,
+    and one that goes on after a stop, answer for nothing that befell before that; truth that is looked at now and then
+    doesn't always show a short stop or a quick restart, so that what is done to hosts counts as well."""
 
     def __init__(self):
         self.since = {}
@@ -171,8 +171,8 @@
     """What members of a fleet of zones believe of region and fleet: all agree where nothing has befallen anyone for a
     while, and a zone out of every other's reach says that it is cut off. Each zone is a region of its own.
 
-    That a zone is cut off is found out by its delegates and said in its summary, a record of the board as a drain is. So
-    whoever joins a zone that knows has to know it as soon as a drain: `told` ms after it listens."""
+    That a zone is cut off is found out by its delegates and said in its summary, a record of the board as a drain is.
+    So whoever joins a zone that knows has to know it as soon as a drain: `told` ms after it listens."""
 
     rule = "zones"
 
@@ -205,25 +205,43 @@
             self.awake.host(name)
 
     def due(self, zone, proxy):
-        """From when on it answers for what it says of its zone, which is cut off. Some member that was awake all the time, or
-        the first one since, has to find it out; who came later is told."""
+        """From when on it answers for what it says of its zone, which is cut off. Some member that was awake all the
+        time, or the first one since, has to find it out; who came later is told."""
         first = min(self.awake.since[name] for name in self.awake.since if self.zone_of[name] == zone)
         return max(max(self.alone[zone], first) + self.apart, self.awake.since[proxy] + self.told)
 
+    def reaches_another(self, proxy):
+        """Whether any other zone can be reached from here, by way of others if need be: a part of a zone may be cut off
+        from the rest of it as well."""
+        running, paused, cut = self.truth
+        cut = dict.fromkeys(cut)
+        seen, ahead = {proxy: None}, [proxy]
+        while ahead:
+            here = ahead.pop()
+            for name in running:
+                if name not in seen and name not in paused and \
+                        f"{here} {name}" not in cut and f"{name} {here}" not in cut:
+                    if self.zone_of[name] != self.zone_of[proxy]:
+                        return True
+                    seen[name] = None
+                    ahead.append(name)
+        return False
+
     def on_believes(self, now, proxy, region_state, fleet_state, **_):
         running, paused, cut = self.truth or ((), (), ())
         zone = self.zone_of[proxy]
         if proxy not in self.awake.since:
             return
         if region_state == "cut off":
-            if zone not in self.alone and now - self.changed > self.agree:
+            if now - self.changed > self.agree and self.reaches_another(proxy):
                 self.once(now, f"{proxy} says that it is cut off, and is not")
         elif zone in self.alone and now > self.due(zone, proxy):
-            self.once(now, f"{proxy} says that its region is {region_state}, {now - self.alone[zone]:.0f} ms after it was "
-                           f"cut off")
+            self.once(now, f"{proxy} says that its region is {region_state}, {now - self.alone[zone]:.0f} ms after it "
+                           f"was cut off")
         if len(running) == len(self.zone_of) and not paused and not cut and now - self.changed > 2 * self.agree \
                 and fleet_state != "agreed":
-            self.once(now, f"{proxy} says that the fleet is {fleet_state}, {now - self.changed:.0f} ms after all was well")
+            self.once(now, f"{proxy} says that the fleet is {fleet_state}, {now - self.changed:.0f} ms after all was "
+                           f"well")
 
     def once(self, now, what):
         key = what.split(",")[0]
--- a/wheathill/peers/membership.py
+++ b/wheathill/peers/membership.py
@@ -745,9 +745,9 @@
         self.set_deadline(now, member)
 
     def last_call(self, member):
-        """When the last knock has to begin. Among few a suspicion is shorter than that knock takes: it would be due as soon
-        as it begins anew, again and again without an end where that is because this instance may bury nobody yet, or
-        because the member's machine answers each knock at once."""
+        """When the last knock has to begin. Among few a suspicion is shorter than that knock takes: it would be due as
+        soon as it begins anew, again and again without an end where that is because this instance may bury nobody yet,
+        or because the member's machine answers each knock at once."""
         due = member.deadline - self.BURIAL[self.lossy] * self.period
         return due if member.renewed is None else max(due, member.renewed + self.period)
 
