Judges of drains know a list that tells a new process of a drain that is over

Cause: the lab's discovery is late on purpose. A proxy that starts within that time after a server is ready again is told of the drain once more; the judges took it for a new one, which nothing ended, as "ready" was before it.

Change: such a word is marked as stale, and its end is noted when that proxy is told so. It binds its own proxy until then, and no other, which know of the later start.

--- a/tests/test_fleet_judges.py
+++ b/tests/test_fleet_judges.py
@@ -4,7 +4,7 @@
 import pytest
 
 from wheathill.lab.judging.fleet import Apart, Shares, Timing, ToldToAll, Views, Zones
-from wheathill.lab.judging.judges import BudgetOfDials
+from wheathill.lab.judging.judges import BudgetOfDials, Drains
 from wheathill.lab.scripts.language import Odd
 
 ZONE_OF = {"a": "e", "b": "e", "c": "w", "d": "w"}
@@ -307,6 +307,29 @@
     assert drains.until(6000.0).dials("b") == ["b dialled it 1750 ms after c was told that it drains"]
 
 
+def test_a_late_list_that_tells_of_a_drain_that_is_over_binds_nobody_else(drains):
+    drains.until(4000.0).see("ready", server="g")
+    drains.see("told", proxy="a", server="g", health="draining", stale=True)
+    assert drains.until(9000.0).dials("b") == []
+    drains.tell("c")
+    assert len(drains.until(12_000.0).dials("b")) == 1
+
+
+def test_a_late_list_binds_its_own_proxy_until_it_says_otherwise():
+    told = Told(Drains, grace=500.0, gone_binds=True)
+
+    def dials(sess):
+        told.see("open", sess=sess, proxy="a", mid=False)
+        told.see("dial", sess=sess, server="g", first=told.now)
+        return told.breaches()
+    told.see("told", proxy="a", server="g", health="draining", stale=True)
+    told.until(1000.0)
+    assert len(dials(1)) == 1
+    told.see("told over", proxy="a", server="g")
+    told.until(4000.0)
+    assert len(dials(2)) == 1
+
+
 # Names
 
 @pytest.fixture
--- a/wheathill/lab/cast/discovery.py
+++ b/wheathill/lab/cast/discovery.py
@@ -41,6 +41,7 @@
         self.dial = dial            # (server, proxy) -> address
         self.down = False
         self.moves = 0              # how often it has got another address
+        self.stale = {}             # servers of which it told a drain that was over by then, until it tells so
         registry.agents[name] = self
         self.listen()
 
@@ -80,7 +81,14 @@
                 self.registry.record.note("told start", proxy=self.name, server=entry["host"])
         for name, health in told:
             if health != "ready":
-                self.registry.record.note("told", proxy=self.name, server=name, health=health)
+                over = health == "draining" and self.registry.entries[name]["health"] == "ready"
+                if over:
+                    self.stale[name] = None
+                self.registry.record.note("told", proxy=self.name, server=name, health=health,
+                                          **({"stale": True} if over else {}))
+            elif name in self.stale:
+                del self.stale[name]
+                self.registry.record.note("told over", proxy=self.name, server=name)
         if whole:
             present = [name for name, _ in told]
             for name in self.registry.entries:
--- a/wheathill/lab/judging/fleet.py
+++ b/wheathill/lab/judging/fleet.py
@@ -304,8 +304,9 @@
         self.fine = {}          # proxy -> since when it is awake and reaches all others
         self.said = {}
 
-    def on_told(self, now, proxy, server, health):
-        if health == "draining":
+    def on_told(self, now, proxy, server, health, stale=False):
+        """A late list may tell a new process of a drain that is over, which the others know."""
+        if health == "draining" and not stale:
             self.told.setdefault(server, {}).setdefault(proxy, now)
 
     def on_ready(self, now, server):
--- a/wheathill/lab/judging/judges.py
+++ b/wheathill/lab/judging/judges.py
@@ -251,10 +251,14 @@
     def on_put_back(self, now, proxy, server):
         self.held.pop((proxy, server), None)
 
-    def on_told(self, now, proxy, server, health):
+    def on_told(self, now, proxy, server, health, stale=False):
+        """A list that is late binds its proxy too, `stale` or not, until it says otherwise."""
         if health == "draining" or self.gone_binds:
             self.told.setdefault((proxy, server), now)
 
+    def on_told_over(self, now, proxy, server):
+        self.told.pop((proxy, server), None)
+
     def on_ready(self, now, server):
         """The registry has it as ready again."""
         for key in [key for key in self.told if key[1] == server]:
--- a/wheathill/lab/worlds/processes.py
+++ b/wheathill/lab/worlds/processes.py
@@ -117,7 +117,8 @@
             return 0.0
 
     def had_ms(self):
-        """The time since its start, but for what it waited for a core: how slow the machine is just now is not its fault."""
+        """The time since its start, but for what it waited for a core: how slow the machine is just now is not its
+        fault."""
         return (self.world.loop.time() - self.began) * 1000 - self.waited_ms()
 
     def cpu_s(self):
