In the virtual world a stop of a process that doesn't run stops nothing

Cause: the seat stopped its host, and the process that started there next stood still from its first moment, where among processes there is nobody to stop. Seen as "only stands still" of one that nobody had met, by random faults.

Change: as among processes. The new test fails before and passes now.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -165,6 +165,16 @@
 SLOW = "import runpy, time; time.sleep({}); runpy.run_module('wheathill', run_name='__main__')"
 
 
+def test_a_stop_of_a_process_that_doesn_t_run_doesn_t_stop_the_next_one():
+    text = pathlib.Path(path_of("flapping")).read_text().partition("[[event]]")[0] + "".join(
+        f'[[event]]\nat_s = {at}\ndo = "{do}"\non = "n1"\n{more}' for at, do, more in (
+            (2, "proxy-kill", ""), (2.5, "proxy-pause", "for_s = 9\n")))
+    result = virtual(language.script_of(tomllib.loads(text)), 1)
+    truths = [fields for _, kind, fields in result.scene.record.events if kind == "truth"]
+    assert not any(truth["paused"] for truth in truths) and "n1" in truths[-1]["running"]
+    assert list(map(str, result.breaches)) == []
+
+
 def short_play(seconds, program, *events):
     """The fleet of `flapping` for a few seconds, by another program."""
     text = pathlib.Path(path_of("flapping")).read_text().partition("[[event]]")[0]
--- a/wheathill/lab/worlds/seat.py
+++ b/wheathill/lab/worlds/seat.py
@@ -84,7 +84,9 @@
         self.proxy.reload(node_of(self.values))
 
     def pause(self):
-        self.host.pause()
+        """There is no process to stop where none runs, and the next one starts as any other."""
+        if self.running:
+            self.host.pause()
 
     def resume(self):
         self.host.resume()
