A test that no module imports itself by way of others, red for a program within lab/scale

It names one cycle: __main__, cli, lab/scale/commands, honest, memory. `lab/scale/memory` is imported for its figures and is also started as a program, where it imports __main__.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -88,6 +88,10 @@
                   if layer(other) > layer(one) and not (late and (one, other) in OFFERED))
 
 
+def test_no_module_imports_itself_by_way_of_others():
+    assert cycles(imports(modules(ROOT))) == []
+
+
 def test_no_import_points_up():
     assert upward(imports(modules(ROOT))) == []
 
