--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -16,7 +16,7 @@
 from wheathill.lab.scale import fit, fleet, honest, judge
 from wheathill.lab.scale.hollow import StretchedClock, idle_node
 from wheathill.lab.scale.layout import PORT, Layout, free_net, region_of
-from wheathill.lab.scale.member import operators_file
+from wheathill.lab.scale.operators_file import operators_file
 from wheathill.lab.scale.reals import numbers as real_numbers
 from wheathill.lab.scale.shape import Shape, ShapedCarrier
 from wheathill.net.driver import Carrier
--- a/wheathill/lab/scale/honest.py
+++ b/wheathill/lab/scale/honest.py
@@ -14,8 +14,8 @@
 from wheathill.config import Misconfigured
 from wheathill.lab.scale import fleet
 from wheathill.lab.scale.layout import Layout, free_net
-from wheathill.lab.scale.member import operators_file
 from wheathill.lab.scale.memory import resident_mb
+from wheathill.lab.scale.operators_file import operators_file
 from wheathill.lab.worlds.processes import dies_with_the_lab
 from wheathill.peers.show import ask
 
@@ -35,7 +35,7 @@
         with open(path, "w") as out:
             out.write(operators_file(name, f"127.0.0.1:{free_port()}", [{"name": "all"}],
                                      [("s", "127.0.0.1:1", "ready")], meant, told, key_path, self.control))
-        self.process = subprocess.Popen([sys.executable, "-m", "wheathill.lab.scale.memory", "daemon", path],
+        self.process = subprocess.Popen([sys.executable, "-m", "wheathill.lab.scale.telling", "daemon", path],
                                         stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
                                         preexec_fn=dies_with_the_lab,
                                         env={**os.environ, "TMPDIR": folder, "ALLOCATED": path + ".allocated"})
--- a/wheathill/lab/scale/memory.py
+++ b/wheathill/lab/scale/memory.py
@@ -1,14 +1,12 @@
 """Memory of a process in MB: what is resident, and what is in use.
 
 Resident memory of small things says little: hundreds of KB that a start took and gave back are filled first. So what is
-in use is counted as well, by Python's own allocator and the C library's. `python -m wheathill.lab.scale.memory daemon FILE`
-is a proxy that tells it when it gets SIGUSR1, in the file that $ALLOCATED names.
+in use is counted as well, by Python's own allocator and the C library's.
 """
 
 import ctypes
 import os
 import re
-import signal
 import sys
 import tempfile
 
@@ -43,16 +41,3 @@
     info = LIBC.mallinfo2()
     # Arenas of Python's allocator are mapped by itself, not by the C library.
     return (int(own.replace(b",", b"")) + info.uordblks + info.hblkhd) / 2 ** 20
-
-
-def tell(*_):
-    path = os.environ["ALLOCATED"]
-    with open(path + ".new", "w") as out:
-        out.write(str(allocated_mb()))
-    os.rename(path + ".new", path)
-
-
-if __name__ == "__main__":
-    signal.signal(signal.SIGUSR1, tell)
-    from wheathill.__main__ import main
-    sys.exit(main())
--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -216,6 +216,9 @@
     def lost(self, reset):
         self.carry(False, self.end, reset)
 
+    def let_go(self):
+        pass        # what is still on its way is told later
+
     def blocked(self, on):
         self.full = on
         self.tell("blocked", on)
@@ -231,6 +234,7 @@
             self.refused = self.wire.refused
             self.leave()
             self.guard(self.machine.lost, reset)
+            self.machine.let_go()
 
     def tell(self, what, *args):
         if not self.over:
