Proxies that subscribe to one list service spread and double their calls where these fail

Followed with logs: all proxies lost their first watch 40 ms after it began, met 503 from then on and asked again each 150 ms, each with another call beside it: 27 of 32 never had a list again, and a drain that counted as told at 17.32 s was met by a request at 17.86 s. At fault: Told.watch_over and ask_beside, which take discovery for an agent beside each proxy, as it is where lists are pushed. Ruled out: the decisions (their own calls were spread long since, and are not made on sockets), and watches that fall silent.

Change: where `membershipMode` is subscribe, the wait after a failure begins at 20 ms for each proxy (500 at the least), doubles up to 2.75 s, so that two calls fit in the 6 s, and half of it is drawn; none is made beside another before that. An agent is asked as before. The two figures that the decisions had of their own stand in model.py for both.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -182,6 +182,35 @@
     assert agent.told("b") < TOLD - 500
 
 
+@pytest.fixture
+def shared():
+    """One service tells thirty proxies the list (`membershipMode`: subscribe), not an agent beside each."""
+    with Turns(step=5.0, settings={"membershipMode": "subscribe", "balancers": 30}) as turns:
+        yield turns
+
+
+@pytest.mark.parametrize("way, most", (("no", 12), ("reset", 12), ("half", 14), ("silent", 9)))
+def test_a_list_service_that_all_share_is_called_seldom_while_it_refuses(shared, way, most):
+    """Thirty that called four times a second kept it down for good: 27 of 32 never had a list again."""
+    agent = Agent(shared, way)
+    agent.for_ms(20_000.0)
+    assert 4 <= agent.asked <= most
+
+
+@pytest.mark.parametrize("way", ("silent", "reset", "no", "half", "quiet"))
+@pytest.mark.parametrize("first", (True, False))
+def test_told_after_calls_to_a_shared_service_that_fail_for_5_s(shared, way, first):
+    agent = Agent(shared, *(() if first else ("good",)), way)
+    if not first:
+        agent.told("a", "b")
+    agent.change("a", "draining")
+    for call in agent.calls:
+        call[0].close()
+    agent.for_ms(5000.0)
+    agent.ways = ["good"]
+    assert agent.told("b") < TOLD - 300
+
+
 def test_a_long_list_is_not_asked_for_twice_while_it_comes(turns):
     """A piece each 200 ms, for 2 s; once the pieces stop another is asked."""
     watch, _ = turns.watch()
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -10,7 +10,7 @@
 import socket
 from dataclasses import dataclass
 
-from wheathill.model import Listener, Repeat
+from wheathill.model import LIST_CALL, LIST_LONGEST, Listener, Repeat
 
 REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
 SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
@@ -182,6 +182,9 @@
     list_wait: float = 1000.0           # for discovery's first answer, before the known list has to do
     list_silence: float = 2700.0        # a watch that says nothing for so long is opened again: two in a row within 6 s
     list_retry: float = 250.0           # between two that were asked, at the least
+    list_spread: float = 0.0            # where one service answers all proxies: the first wait after a failure, doubled
+                                        # by each further one, up to list_longest; half of it is drawn by chance
+    list_longest: float = LIST_LONGEST  # two within the 6 s after which a change counts as told
     list_again: float = 250.0           # until another is asked beside one that has not answered
     unanswered: float = 500.0           # a line without an answer is reported from then on
     half_line: float = 5000.0           # an unfinished line is waited for no longer
@@ -313,6 +316,11 @@
     sockets = allowed.count("sockets", 1024, least=64)
     # Nothing new may go to a server that leaves once the grace is over: what asks for the list must be well within it.
     list_again = min(Limits.list_wait, max(100.0, balancer["drain_grace"] / 2))
+    list_retry, list_spread = min(Limits.list_retry, list_again), 0.0
+    if balancer["must_ask"]:
+        # Not an agent beside each proxy: what refuses calls that come too often would never be left alone.
+        list_again = Limits.list_longest
+        list_spread = min(Limits.list_longest, max(500.0, balancer["proxies"] * LIST_CALL / 2))
     where = {key: None if top.values.get(key) is False and key == "discovery" else
              address(top.text(key, instead.get(key)), key) for key in ("listen", "discovery")}
     admin = top.text("admin_addr", instead.get("admin_addr") or "")
@@ -325,7 +333,7 @@
         state=instead.get("state") if admin or instead.get("fd") else None,
         limits=Limits(sockets=sockets, spare_sockets=spare,
                       **buffers(allowed.number("memory_mb", 192.0, least=16.0), sockets),
-                      list_again=list_again, list_retry=min(Limits.list_retry, list_again),
+                      list_again=list_again, list_retry=list_retry, list_spread=list_spread,
                       # None is stated by 0 as well: no connection would ever come up in it.
                       connect=settings.part("limits").ms("connectTimeoutS", 1000.0) or 1000.0,
                       longest_dial=max(listener.dial_timeout for listener in listeners),
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -11,6 +11,9 @@
 from functools import partial
 from typing import Protocol
 
+LIST_CALL = 40.0        # ms that one call may take a service which tells all proxies the list, where nothing tells
+LIST_LONGEST = 2750.0   # ms between two calls: two within the 6 s after which a change counts as told
+
 
 class Repeat(enum.Enum):
     REPEATABLE = "repeatable"
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -49,6 +49,7 @@
         self.gaps = 0           # how often in a row
         self.early = {}         # clients whose line came before the first list -> when
         self.watch_why = None   # it ended last time, and nothing came since
+        self.list_failures = 0  # calls for the list in a row
         self.ready = False
         self.stopping = None    # since when
         self.stop_last = 0.0    # when those that are left are sent away
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -125,6 +125,12 @@
             self.log_event("watch over", why=why)
         self.watch_why = why
         self.leave_watch()
+        if self.limits.list_spread:
+            # Every proxy meets its failure at once, and calls that come together again keep it down.
+            self.list_failures = 0 if watch.answered else self.list_failures + 1
+            wait = min(self.limits.list_longest, self.limits.list_spread * 2.0 ** min(self.list_failures, 5))
+            self.next_watch = self.clock.after(wait * self.balancer.uniform(0.5, 1.0), self.open_watch)
+            return
         # At once after one that had lasted: what the agent has meanwhile counts as told.
         self.next_watch = self.clock.at(max(self.now(), self.asked_at + self.limits.list_retry), self.open_watch)
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -16,7 +16,7 @@
 from itertools import chain
 from statistics import fmean, median
 
-from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
+from wheathill.model import LIST_CALL, LIST_LONGEST, Dial, ListKind, Outcome, Phase, Repeat
 
 
 def slot_of(text, size):
@@ -336,8 +336,6 @@
 class Roster:
     """Follows the list of servers; tells who joined and who left."""
 
-    LONGEST_WAIT = 2750.0       # two calls within the 6 s after which a change counts as told
-
     def __init__(self, actions, must_ask, spread, drain_grace, sized, uniform, gone_binds):
         self.gone_binds, self.spread, self.actions, self.sized = gone_binds, spread, actions, sized
         self.must_ask, self.drain_grace, self.uniform = must_ask, drain_grace, uniform
@@ -363,7 +361,7 @@
             # Every proxy meets the failure at once; asking again together would keep the list
             # service down, so the wait doubles and is spread.
             self.following, self.asked, self.failures = False, None, self.failures + 1
-            wait = min(self.LONGEST_WAIT, max(500.0, self.spread / 2) * 2.0 ** min(self.failures, 5))
+            wait = min(LIST_LONGEST, max(500.0, self.spread / 2) * 2.0 ** min(self.failures, 5))
             self.actions.alarm("follow", now + wait * self.uniform(0.5, 1.0))
             return [], []
         if kind in (ListKind.CHANGES, ListKind.FULL) and self.asked is not None:
@@ -880,7 +878,6 @@
     MOVE_FROM = 0.9
     SILENCE = 1500.0
     QUIET = 500.0
-    LIST_CALL = 40.0    # what one call may take the list service, where nothing tells
 
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
@@ -894,8 +891,8 @@
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, floor=5.0,
                                  late=0.5 * self.TICK, full=0.8 - 0.3 * nines, late_for=1.5 * self.TICK,
                                  tells_late=tells_late)
-        self.longest_spread = min(ask_every / 2, Roster.LONGEST_WAIT)
-        self.roster = Roster(actions, must_ask, min(self.longest_spread, proxies * self.LIST_CALL),
+        self.longest_spread = min(ask_every / 2, LIST_LONGEST)
+        self.roster = Roster(actions, must_ask, min(self.longest_spread, proxies * LIST_CALL),
                              drain_grace, sized, rng.uniform, gone_binds)
         self.health = Health(pause=250.0, stood=0.4 * self.EARLY, memory=self.CONNECTION_LIFE,
                              shared_memory=5000.0)
@@ -953,7 +950,7 @@
     def on_fleet(self, now, share):
         """This proxy's part of what all may do together, as far as it knows who is there."""
         self.levels.take_share(share)
-        self.roster.spread = min(self.longest_spread, self.LIST_CALL / max(share, 1e-6))
+        self.roster.spread = min(self.longest_spread, LIST_CALL / max(share, 1e-6))
 
     def on_witnesses(self, now, failing, here):
         """Other proxies' sight: `failing` ones fail for them all and are tried by one session at a time, like
