--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -218,6 +218,55 @@
     return d.lines
 
 
+def pace_of_kinds():
+    """Nothing is reported and weights are rough: a kind whose set-ups take longer gets fewer slots, whatever is
+    registered, and the sessions whose slots lead elsewhere then move. One long set-up says little."""
+    d = Drive(may_probe=False, report_names=[], rough=True)
+    d.list(*FLEET, kind=ListKind.CACHED)
+    for name, server in d.servers.items():
+        server.kind = "wide" if name in "ab" else "narrow"
+    d.shares()
+
+    def set_up(name, ms):
+        sess = d.session(name)
+        d.now += ms + 2.0
+        d.balancer.on_accepted(d.now, sess)
+        return sess
+
+    d.loud = False
+    for i in range(4):
+        d.accept(f"costs nothing {i}")
+    set_up("one", 400.0)
+    d.loud = True
+    d.until(d.now + 1000.0)
+    d.shares()
+    d.loud = False
+    for i in range(24):
+        sess = d.session(f"s{i}")
+        d.now += 22.0 if sess.server.kind == "narrow" else 62.0
+        d.balancer.on_accepted(d.now, sess)
+    d.loud = True
+    d.until(d.now + 1000.0)
+    d.shares()
+    d.list("e")
+    d.say("a kind that was never seen counts as registered:")
+    d.shares()
+    return d.lines
+
+
+def levels_of_few():
+    """Eight connections on forty servers are chance: two of them at one server shift nothing."""
+    d = Drive(may_probe=False, report_names=[], proxies=200)
+    d.list(*(f"s{i:02}" for i in range(40)), kind=ListKind.CACHED)
+    d.loud = False
+    for i in range(8):
+        d.accept(f"any {i}", key="a" if i < 2 else None)
+    d.loud = True
+    d.until(6000.0)
+    d.say(f"most at one server: {max(len(server.sessions) for server in d.servers.values())}")
+    return d.lines
+
+
 def groups_meet():
     d = Drive(loads=dict.fromkeys(FLEET, 0.4))
     d.list(*FLEET, kind=ListKind.CACHED)
@@ -595,7 +644,7 @@
     fails_by_turns, few_servers_fail, untrue_reports, slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
-                                           overload, without_probes, groups_meet,
+                                           overload, without_probes, pace_of_kinds, levels_of_few, groups_meet,
                                            told_late, asked_first, store_swamped, store_swamped_among_many,
                                            list_out_of_reach, odd_input)}
 
--- a/wheathill/pace.py
+++ b/wheathill/pace.py
@@ -1,4 +1,4 @@
-"""How fast servers of one kind work, where nothing is reported: figures for the decisions, no decision itself.
+"""How fast servers of one kind work, where nothing is reported: figures for the decisions.
 
 What a set-up takes beyond the way there is work at the server, and hardly grows with load below the full one
 (docs/design/unreported.md). One says little, so those of all servers of a kind count together, each
@@ -13,7 +13,7 @@
 class Pace:
     JITTER = 5.0        # ms: set-ups that cost the server nothing differ by so much
     MOST = 4.0          # times the mean: one heavy set-up is not a slow machine
-    STEPS = 3           # to a factor of two; unlike tables at proxies that found nearly the same would split groups
+    STEPS = 3           # to a factor of two: tables that differ for little would split groups among proxies
 
     def __init__(self, doubt, kept, age):
         self.doubt, self.kept, self.age = doubt, kept, age
