--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -673,3 +673,29 @@
     assert main(io.BytesIO(lines.encode()), out) == 2
     assert capsys.readouterr().err == said + "\n"
     assert out.getvalue().count("\n") == 1
+
+
+@pytest.mark.parametrize("weights, found", [("rough", ["pace: 1.59 0.63"]), ("nominal", []), ("off", [])])
+def test_kinds_and_rough_weights_reach_the_decisions(weights, found):
+    """Set-ups take 20 ms at b's kind, met first, and 60 at a's, by the wire's clock; what is nominal is believed."""
+    start = ["start", "p/0", 1, {"listeners": [{"name": "any"}], "balancers": 1, "weightSource": weights}]
+    servers = [[1.0, 0, name, 0, None, "ab".index(name) % 2, 3] for name in "ab"]
+    out, lines, clock = io.StringIO(), [(0.0, [start, ["rosterChange", "p/0", 2, 1, servers]])], 0.0
+    for place in range(30):
+        key = f"k{place}"
+        clock += 0.1
+        lines.append((clock, [["accept", "p/0", key, 0, 0, key, 2.0, None, None, 0]]))
+        lines.append((clock + 0.003 if place < 2 else clock + (0.06 if leads(key, weights) == "a" else 0.02),
+                      [["accepted", "p/0", key, "-", 0, 0.0]]))
+    lines.append((clock + 1.0, [["ring", "p/0", "tick"]]))
+    wire = "\n".join(json.dumps({"tS": when, "happened": events}) for when, events in lines) + "\n"
+    assert main(io.BytesIO(wire.encode()), out) == 0
+    orders = [order for line in out.getvalue().splitlines() for order in json.loads(line)["orders"]]
+    assert [order[2] for order in orders if order[0] == "trace" and order[2].startswith("pace")] == found
+
+
+def leads(key, weights):
+    """Where the table of these two servers leads."""
+    d = Drive(may_probe=False, report_names=[], rough=weights == "rough", proxies=1)
+    d.list("a", "b", kind=ListKind.CACHED)
+    return d.session("asks", key=key).server.name
