Unreported servers: a rough registered weight counts by its root

Most sessions come in the first three seconds, before any set-up tells a speed. A weight that is only about the size is doubtful both ways; between alike and as registered lies the root (shrinkage).

Tests: what a weight of four counts for, by source; pace over the wire as before.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,6 +7,7 @@
 import pytest
 from drive import Drive, kept
 
+from wheathill.config import Reader, balancer_settings
 from wheathill.drill.__main__ import main
 from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat, Session
 
@@ -694,6 +695,15 @@
     assert [order[2] for order in orders if order[0] == "trace" and order[2].startswith("pace")] == found
 
 
+@pytest.mark.parametrize("source, counts", [("nominal", 4.0), ("rough", 2.0), ("off", 1.0), ("live", 1.0)])
+def test_what_a_registered_weight_of_four_counts_for(source, counts):
+    settings = balancer_settings(Reader({"weightSource": source}))
+    d = Drive(may_probe=False, report_names=[], sized=settings["sized"], rough=settings["rough"])
+    d.list("a")
+    d.balancer.on_list(d.now, ListKind.CHANGES, [(d.servers["a"], Phase.READY, 4.0, 1.0)])
+    assert d.servers["a"].pull == counts
+
+
 def leads(key, weights):
     """Where the table of these two servers leads."""
     d = Drive(may_probe=False, report_names=[], rough=weights == "rough", proxies=1)
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -370,7 +370,7 @@
             restarted = started is not None and (server in self.servers if server.started is None
                                                  else started > server.started)
             # Only a registered size is the same at every proxy; a live weight would tear tables apart.
-            server.weight = weight if self.sized and weight and weight > 0 else 1.0
+            server.weight = weight ** self.sized if weight and weight > 0 else 1.0
             server.started = started
             if phase is Phase.READY:
                 if server not in self.servers or restarted:
