--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,6 @@
 import pytest
 from drive import Drive, kept
 
-from wheathill.config import Reader, balancer_settings
 from wheathill.drill.__main__ import main
 from wheathill.model import Listener, ListKind, Outcome, Phase, Repeat, Session
 
@@ -219,55 +218,6 @@
     return d.lines
 
 
-def pace_of_kinds():
-    """Nothing is reported and weights are rough: a kind whose set-ups take longer gets fewer slots, whatever is
-    registered, and the sessions whose slots lead elsewhere then move. One long set-up says little."""
-    d = Drive(may_probe=False, report_names=[], rough=True)
-    d.list(*FLEET, kind=ListKind.CACHED)
-    for name, server in d.servers.items():
-        server.kind = "wide" if name in "ab" else "narrow"
-    d.shares()
-
-    def set_up(name, ms):
-        sess = d.session(name)
-        d.now += ms + 2.0
-        d.balancer.on_accepted(d.now, sess)
-        return sess
-
-    d.loud = False
-    for i in range(4):
-        d.accept(f"costs nothing {i}")
-    set_up("one", 400.0)
-    d.loud = True
-    d.until(d.now + 1000.0)
-    d.shares()
-    d.loud = False
-    for i in range(24):
-        sess = d.session(f"s{i}")
-        d.now += 22.0 if sess.server.kind == "narrow" else 62.0
-        d.balancer.on_accepted(d.now, sess)
-    d.loud = True
-    d.until(d.now + 1000.0)
-    d.shares()
-    d.list("e")
-    d.say("a kind that was never seen counts as registered:")
-    d.shares()
-    return d.lines
-
-
-def levels_of_few():
-    """Eight connections on forty servers are chance: two of them at one server shift nothing."""
-    d = Drive(may_probe=False, report_names=[], proxies=200)
-    d.list(*(f"s{i:02}" for i in range(40)), kind=ListKind.CACHED)
-    d.loud = False
-    for i in range(8):
-        d.accept(f"any {i}", key="a" if i < 2 else None)
-    d.loud = True
-    d.until(6000.0)
-    d.say(f"most at one server: {max(len(server.sessions) for server in d.servers.values())}")
-    return d.lines
-
-
 def groups_meet():
     d = Drive(loads=dict.fromkeys(FLEET, 0.4))
     d.list(*FLEET, kind=ListKind.CACHED)
@@ -645,7 +595,7 @@
     fails_by_turns, few_servers_fail, untrue_reports, slow_way, full_and_unknown, budget_of_dials, gone_does_not_bind, out_by_hand, packets_pay_for_probes, left_in_three_ticks, server_that_says_nothing, ordinary_path, join_and_leave, drain,
     repeats, quick_failures, odd_sizes, few_figures,
                                            cold_start, cold_start_among_many,
-                                           overload, without_probes, pace_of_kinds, levels_of_few, groups_meet,
+                                           overload, without_probes, groups_meet,
                                            told_late, asked_first, store_swamped, store_swamped_among_many,
                                            list_out_of_reach, odd_input)}
 
@@ -674,38 +624,3 @@
     assert main(io.BytesIO(lines.encode()), out) == 2
     assert capsys.readouterr().err == said + "\n"
     assert out.getvalue().count("\n") == 1
-
-
-@pytest.mark.parametrize("weights, found", [("rough", ["pace: 1.59 0.63"]), ("nominal", []), ("off", [])])
-def test_kinds_and_rough_weights_reach_the_decisions(weights, found):
-    """Set-ups take 20 ms at b's kind, met first, and 60 at a's, by the wire's clock; what is nominal is believed."""
-    start = ["start", "p/0", 1, {"listeners": [{"name": "any"}], "balancers": 1, "weightSource": weights}]
-    servers = [[1.0, 0, name, 0, None, "ab".index(name) % 2, 3] for name in "ab"]
-    out, lines, clock = io.StringIO(), [(0.0, [start, ["rosterChange", "p/0", 2, 1, servers]])], 0.0
-    for place in range(30):
-        key = f"k{place}"
-        clock += 0.1
-        lines.append((clock, [["accept", "p/0", key, 0, 0, key, 2.0, None, None, 0]]))
-        lines.append((clock + 0.003 if place < 2 else clock + (0.06 if leads(key, weights) == "a" else 0.02),
-                      [["accepted", "p/0", key, "-", 0, 0.0]]))
-    lines.append((clock + 1.0, [["ring", "p/0", "tick"]]))
-    wire = "\n".join(json.dumps({"tS": when, "happened": events}) for when, events in lines) + "\n"
-    assert main(io.BytesIO(wire.encode()), out) == 0
-    orders = [order for line in out.getvalue().splitlines() for order in json.loads(line)["orders"]]
-    assert [order[2] for order in orders if order[0] == "trace" and order[2].startswith("pace")] == found
-
-
-@pytest.mark.parametrize("source, counts", [("nominal", 4.0), ("rough", 2.0), ("off", 1.0), ("live", 1.0)])
-def test_what_a_registered_weight_of_four_counts_for(source, counts):
-    settings = balancer_settings(Reader({"weightSource": source}))
-    d = Drive(may_probe=False, report_names=[], sized=settings["sized"], rough=settings["rough"])
-    d.list("a")
-    d.balancer.on_list(d.now, ListKind.CHANGES, [(d.servers["a"], Phase.READY, 4.0, 1.0)])
-    assert d.servers["a"].pull == counts
-
-
-def leads(key, weights):
-    """Where the table of these two servers leads."""
-    d = Drive(may_probe=False, report_names=[], rough=weights == "rough", proxies=1)
-    d.list("a", "b", kind=ListKind.CACHED)
-    return d.session("asks", key=key).server.name
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -134,9 +134,7 @@
         "report_names": [REPORT_NAMES.get(name, name) for name in report.texts("names")] if reported else [],
         "may_probe": may_probe, "must_ask": settings.text("membershipMode", "automatic") == "subscribe",
         "ask_every": duties.ms("askEveryS", 10_000.0),
-        "rough": settings.text("weightSource", "off") == "rough",
-        # Between alike and as registered: what a rough weight says too much one way it may say too little the other.
-        "sized": {"nominal": 1.0, "rough": 0.5}.get(settings.text("weightSource", "off"), 0.0),
+        "sized": settings.text("weightSource", "off") in ("nominal", "rough"),
         "drain_grace": duties.ms("drainGraceS", 0.0), "start_share": duties.number("startCapacity", 0.1),
         "cold_for": duties.ms("coldS", 20_000.0), "cold_multiple": duties.number("tipMultiple", 1.0),
         "cold_window": duties.ms("tipAfterS", 1000.0), "most_dials": limits.count("maxDials", 1),
--- a/wheathill/drill/__main__.py
+++ b/wheathill/drill/__main__.py
@@ -46,12 +46,11 @@
         if scope not in LIST_KINDS or any(not isinstance(line, list) or len(line) != 7 for line in lines):
             raise Malformed("rosterChange takes a known scope and entries of 7 values")
         entries = []
-        for weight, zone, name, cell, started, machine, phase in lines:
+        for weight, zone, name, cell, started, _machine, phase in lines:
             server = self.servers.get(name)
             if server is None:
                 server = self.servers[name] = Server(name)
             server.zone, server.cell = zone, cell
-            server.kind = machine
             since = started * 1000 if started else None
             entries.append((server, PHASES.get(phase, Phase.GONE), weight, since))
         self.balancer.on_list(now, LIST_KINDS[scope], entries)
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -82,8 +82,6 @@
     name: str
     zone: int = 0
     cell: int = 0
-    kind: str | int | None = None       # of machine: only told from others
-    pace: float = 1.0                   # how fast its kind was found to work
     weight: float = 1.0
     started: float | None = None        # None: long ago
     phase: Phase = Phase.READY          # as listed, but for one that is out by hand
--- a/wheathill/net/told.py
+++ b/wheathill/net/told.py
@@ -252,7 +252,6 @@
             self.addresses[server] = where
         if host.get("site") is not None:
             server.zone, server.cell = self.zones.get(host["site"], -1), cell
-        server.kind = host.get("class") if isinstance(host.get("class"), str) else None
         self.servers[name] = server
         return server, phase, weight, started
 
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -15,7 +15,6 @@
 
 from wheathill.draws import lowest_draws, slot_draws, slot_of
 from wheathill.model import Dial, ListKind, Outcome, Phase, Repeat
-from wheathill.pace import Pace
 
 
 class SlotTable:
@@ -78,7 +77,7 @@
         """What a server's hash counts for: its registered size. Exception: where crossing to another zone
         has a price, servers of the own zone weigh more; all proxies of a zone still fill alike."""
         server.draws = server.draws or slot_draws(server.name, self.size)
-        server.pull = server.weight * server.pace * (self.near if server.zone == self.zone else 1.0)
+        server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
     def others(self, slot):
         """Whom the slots after this one lead to, for where its own server will not do. Every proxy finds the
@@ -139,15 +138,6 @@
             self.current[slot] = server
             self.clear(slot)
 
-    def reweigh(self, now, servers):
-        """Weights have changed. Tells the sessions that now stand elsewhere than their slot's home."""
-        for server in servers:
-            self.weigh(server)
-        before, self.home, self.lowest = self.home, [None] * self.size, [math.inf] * self.size
-        self.join(now, servers)
-        return [sess for slot, home in enumerate(self.home) if home is not before[slot]
-                for sess in self.sessions[slot] if sess.server is before[slot]]
-
     def clear(self, slot):
         self.new[slot] = None
         self.opened.pop(slot, None)
@@ -195,8 +185,6 @@
 class LoadLevels:
     """From the last few probe answers to doubling levels."""
 
-    DOUBT = 8.0
-
     def __init__(self, names, proxies, fresh, together, late, full, late_for, floor, tells_late):
         self.tells_late, self.together, self.late_for, self.late = tells_late, together, late_for, late
         self.full, self.names, self.fresh = full, names, fresh
@@ -300,20 +288,12 @@
     def level(self, figure):
         return 0 if figure < self.base else 1 + int(math.log2(figure / self.base))
 
-    def by_own(self, servers):
-        """Own connections over what a server's weight has of them, shrunk to the mean by so many more (a
-        gamma prior of Poisson counts): two of eight on forty servers are chance, twenty of forty are not.
-        The mean lies in the middle of a level, so that chance about it shifts nothing."""
-        part = (sum(len(server.sessions) for server in servers)
-                / max(1e-9, sum(server.pull for server in servers)))
-        return {server: (self.DOUBT + len(server.sessions)) / (self.DOUBT + part * server.pull) / math.sqrt(2)
-                for server in servers}
-
     def levels(self, now, servers):
         if self.source:
             known = self.figures(now, servers)
         else:
-            known = self.by_own(servers)
+            mean = fmean([len(server.sessions) for server in servers] or [0]) or 1.0
+            known = {server: len(server.sessions) / mean for server in servers}
         found = {server: self.level(figure) for server, figure in known.items()}
         if 2 * len(found) < len(servers):
             # Exception: with most unknown a level says nothing against the others'. Tables of hundreds of
@@ -370,7 +350,7 @@
             restarted = started is not None and (server in self.servers if server.started is None
                                                  else started > server.started)
             # Only a registered size is the same at every proxy; a live weight would tear tables apart.
-            server.weight = weight ** self.sized if weight and weight > 0 else 1.0
+            server.weight = weight if self.sized and weight and weight > 0 else 1.0
             server.started = started
             if phase is Phase.READY:
                 if server not in self.servers or restarted:
@@ -868,7 +848,7 @@
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
-                 nines=0.0, tells_late=False, number=None, rough=False):
+                 nines=0.0, tells_late=False, number=None):
         self.actions, self.passes_through = actions, passes_through
         self.uniform = rng.uniform
         self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
@@ -895,8 +875,6 @@
                                    recent=0.4 * self.TICK)
         self.dialling = Dialling(actions, self.table, self.levels, self.health, self.cold, self.budget,
                                  alive=self.TICK)
-        self.learns = rough and not self.levels.source
-        self.pace, self.factors = Pace(doubt=2.0, kept=64, age=60_000.0), {}
         self.next_probes = deque()
         self.first = admission
         for earlier, later in ((admission, self.placement), (self.placement, self.dialling)):
@@ -916,8 +894,6 @@
 
     def on_list(self, now, kind, entries):
         joined, left = self.roster.update(now, kind, entries)
-        for server in joined:
-            server.pace = self.factors.get(server.kind, 1.0)
         self.table.update(now, joined, dict.fromkeys(left), self.roster.servers)
         for server in joined:
             # In unlike order at each proxy, or all would probe the same servers first.
@@ -974,8 +950,6 @@
         self.table.accepted(now, sess)
 
     def on_accepted(self, now, sess):
-        if self.learns and not sess.mid_flow and not self.cold.cold(now, sess.server):
-            self.pace.set_up(now, sess.server, now - sess.dials[-1].sent)
         self.dialling.accepted(now, sess)
 
     def on_outcome(self, now, sess, outcome, closed):
@@ -1085,7 +1059,6 @@
         if shifted:
             self.actions.log(f"shift: {shifted[1]} slots off a server on level {levels[shifted[0]]}")
         self.relieve(now)
-        self.follow_pace(now)
         self.table.serving = {server: None for server in self.table.serving if server.sessions}
         for server in [server for server in self.table.serving if server.phase is Phase.DRAINING]:
             # In three ticks: servers were seen to end 3.2 s after this proxy was told.
@@ -1095,21 +1068,6 @@
         for place in range(len(due)):
             self.actions.alarm("probe", now + self.TICK * (place + 0.5) / len(due))
 
-    def follow_pace(self, now):
-        """Exception: where nothing is reported and registered weights are rough, they are multiplied by how
-        fast machines of a kind were found to set sessions up. The few sessions move whose slots then have
-        another home, at a server that can take them."""
-        factors = self.pace.factors(now) if self.learns else {}
-        if factors != self.factors:
-            self.factors, servers = factors, self.roster.servers
-            for server in servers:
-                server.pace = factors.get(server.kind, 1.0)
-            for sess in self.table.reweigh(now, servers):
-                home = self.table.home[sess.slot]
-                if home and not self.cold.cold(now, home) and not self.health.ill(now, home):
-                    self.actions.move(sess)
-            self.actions.log("pace: " + " ".join(f"{factor:.2f}" for factor in factors.values()))
-
     def relieve(self, now):
         """Exception: polite moves off an overdriven server. Shifted slots only help sessions to come, and
         connections outlive the trouble. They act from the load at which messages miss while other servers
