--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -22,7 +22,7 @@
     ("wheathill.lab",),
 )
 # The command line offers the lab's commands, and imports them once one is called.
-OFFERED = {("wheathill.cli", "wheathill.lab.tools.experiments"), ("wheathill.cli", "wheathill.lab.scale.commands")}
+OFFERED = {("wheathill.cli", f"wheathill.lab.{name}") for name in ("tools.experiments", "tools.sites", "scale.commands")}
 
 
 def modules(root):
@@ -88,6 +88,10 @@
                   if layer(other) > layer(one) and not (late and (one, other) in OFFERED))
 
 
+def test_no_module_imports_itself_by_way_of_others():
+    assert cycles(imports(modules(ROOT))) == []
+
+
 def test_no_import_points_up():
     assert upward(imports(modules(ROOT))) == []
 
--- a/wheathill/lab/scale/fleet.py
+++ b/wheathill/lab/scale/fleet.py
@@ -288,7 +288,8 @@
             views = await self.views()
             if views["right"] == len(self.starts):
                 return self.now()
-            await self.until(min(end, self.now() + max(0.5, self.plan.members / 200)))
+            # To look at all costs the machine's time, whatever the fleet's.
+            await self.until(min(end, self.now() + max(0.5, self.plan.members / 200 / self.plan.rate)))
         return None
 
     async def kill(self, numbers):
@@ -409,7 +410,8 @@
         """Of all changes, `of` "all" or "real" ones."""
         shown = [each[of] for each in self.shown]
         return {"change_in_force_s": judge.spread([took for each in shown for took in each["in_force"]], 3),
-                "changes_late": sum(each["late"] for each in shown),
+                "changes_late": sum(len(each["late"]) for each in shown),
+                "changes_late_first": [late for each in shown for late in each["late"]][:5],
                 "changes_open": sum(each["open"] for each in shown),
                 "not_reached": len(dict.fromkeys(number for each in shown for number in each["lacked"]))}
 
