Tests: what threads start is given an environment of its own

Since Python 3.11.4 the interpreter's lock is let go while a child comes up by vfork; without an environment of its own the child reads the C library's, and the main thread changes that as it goes (pytest sets and unsets PYTEST_CURRENT_TEST around each test). Ruled out: memory, descriptors and the file itself.

Change: plays among processes, the only processes that tests start from threads without one, are given a copy taken as the module is read.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -50,13 +50,33 @@
     return f"experiments/peers/{script}.toml"
 
 
-def play(script, *more):
-    """(exit code, what was printed)."""
-    done = subprocess.run([sys.executable, "-m", "wheathill", "lab", "run", path_of(script), "--world", "processes",
-                           *more], capture_output=True, text=True, timeout=240)
+# For what threads start. A child that is given none reads the C library's, which the main thread changes meanwhile (the
+# test runner notes each test there), and is then not started at all (EFAULT).
+ENVIRONMENT = dict(os.environ)
+
+
+def run(*words):
+    """The interpreter with these words, from any thread, as (exit code, what was printed)."""
+    done = subprocess.run([sys.executable, *words], capture_output=True, text=True, timeout=240, env=ENVIRONMENT)
     return done.returncode, done.stdout + done.stderr
 
 
+def play(script, *more):
+    return run("-m", "wheathill", "lab", "run", path_of(script), "--world", "processes", *more)
+
+
+def test_threads_start_processes_while_the_environment_changes():
+    names = [f"WHEATHILL_TEST_{number}" for number in range(32)]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        begun = [pool.submit(run, "-S", "-c", "") for _ in range(100)]
+        while not all(each.done() for each in begun):
+            for name in names:
+                os.environ[name] = name
+            for name in names:
+                del os.environ[name]
+    assert [each.result() for each in begun] == [(0, "")] * len(begun)
+
+
 @pytest.fixture(scope="module")
 def plays():
     """(script, mutant or None) -> a future; all that any test here waits for."""
