A probe that is out no longer takes the descriptors that a session's end left

At fault: Carried.make_room, which asked for a free descriptor of the sessions' own though probes and newcomers have parts of the spare ones. The same would hold for clients that came within the last 20 ms. Ruled out: the waits of the test, idle clients that are older (all were closed).

Two tests over loopback, a turn at a time, both seen to fail before.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -543,6 +543,54 @@
             assert turns.hears(client) == "UP r1"
 
 
+def full_of_sessions(turns):
+    """Sessions take all that is theirs; then one of them ends, which leaves two descriptors."""
+    turns.watched(*turns.servers)
+    while turns.carrier.free > 1:
+        client, server = turns.open(f"k{len(turns.peers)}"), turns.taken()
+        while not turns.hears(server).startswith("OPEN"):
+            server.say("PONG x0=0.1")
+            server = turns.taken()
+        server.say("UP r1")
+        turns.hears(client)
+        while turns.carrier.free <= 1 and turns.proxy.links:
+            turns.proxy.close_link()        # which the next one's dial would do
+    left = turns.carrier.free
+    client.sock.close()
+    turns.until(lambda: turns.carrier.free == left + 2)
+
+
+def dialled_then(turns):
+    client, server = turns.open("q"), turns.taken()
+    while not turns.hears(server).startswith("OPEN"):
+        server = turns.taken()
+    server.say("UP r1")
+    return turns.hears(client)
+
+
+def test_a_probe_that_is_out_takes_no_session_s_descriptor():
+    """It may be asked for as another session ends, and its link can't be closed for the next one."""
+    with Turns([f"s{number}" for number in range(8)], settings=PROBED, sockets=96) as turns:
+        full_of_sessions(turns)
+        for server in turns.proxy.servers.values():
+            turns.proxy.probe(server)
+        turns.turn(2)
+        assert turns.carrier.free <= 0 and all(link.asked for link in turns.proxy.links.values())
+        assert dialled_then(turns) == "UP r1"
+
+
+def test_clients_that_have_just_come_take_no_session_s_descriptor():
+    """They are too new to make room, and whoever asks for something is dialled for."""
+    with Turns(sockets=96) as turns:
+        full_of_sessions(turns)
+        for _ in range(8):
+            turns.client()
+        turns.until(lambda: len(turns.proxy.silent) >= 5)
+        turns.proxy.silent.update(dict.fromkeys(turns.proxy.silent, turns.proxy.now() + 60_000))    # none is shut for age
+        assert turns.carrier.free <= 0
+        assert dialled_then(turns) == "UP r1"
+
+
 def test_without_a_descriptor_left_a_probe_is_held_against_nobody():
     with Turns(settings=PROBED) as turns:
         turns.watched("a", "b")
--- a/wheathill/net/carried.py
+++ b/wheathill/net/carried.py
@@ -60,14 +60,15 @@
 
     def make_room(self):
         """Whether a session may be dialled for. What only rests makes room for it: links on which no probe is out,
-        then clients that ask for nothing."""
+        then clients that ask for nothing. What is under way without being a session, probes that are out and clients that
+        have only just come, holds spare descriptors: sessions have the others, whoever took them first."""
         if self.carrier.free <= 0:
             for link in [link for link in self.links.values() if not link.asked][:1 - self.carrier.free]:
                 link.end(None)
         if self.carrier.free <= 0:
             for client in self.asking_nothing(1 - self.carrier.free):
                 self.shut(client)
-        return self.carrier.free > 0
+        return self.carrier.free + len(self.links) + len(self.silent) > 0 and self.spare(DIALS)
 
     def opened(self, client, came=None):
         """`came`: when its line did, where that was a while ago."""
