Lab: a connection's first segment that is lost goes again after a second, as the system does

Cause: in the virtual world it went again after 200 ms like any other segment, so that what waits for a connection at loss was shown up to five times too soon: the board's answers by stream never showed late there. At fault: Network.sent_again.

Change: first segment, its answer and its refusal go again after 1 s, then 2, 4, as RFC 6298 has it. A test, seen to fail before.

--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -172,6 +172,22 @@
     return pair.lines
 
 
+def test_a_lost_first_segment_goes_again_after_a_second():
+    """As the system does, which knows nothing of the way yet; what is lost later goes again after 200 ms."""
+    pair = Pair().run(10)
+    lost = iter((True, False, False, True, False))      # the first segment, once; its answer; a line, once
+    pair.world.net.random = lambda: 0.0 if next(lost, False) else 0.9
+    pair.world.worse("one", "other", 0.0, 0.5)
+    began, again = pair.clock.now(), Writes("again", [], pair.clock)
+    again.wire = pair.one.carrier.connect(again, pair.other.where)
+    pair.run(1100)
+    pair.far.wire.send(b"a line")
+    pair.run(300)
+    times = [float(line.split()[0]) - began for line in again.story]
+    assert [line.split(maxsplit=1)[1] for line in again.story] == ["again connected", "again received b'a line'"]
+    assert times[0] == pytest.approx(1002.0, abs=1.0) and times[1] == pytest.approx(1301.0, abs=1.0)
+
+
 def datagrams():
     world = VirtualWorld(1, STILL)
     faults = Faults(random.Random("seed"), 1.0, 0.5, loss=0.2, doubled=0.2, overtaken=0.3)
--- a/wheathill/lab/worlds/network.py
+++ b/wheathill/lab/worlds/network.py
@@ -202,32 +202,36 @@
         self.links = None       # between instances that know one another
         self.mail = {}          # host name -> VirtualDatagrams
 
-    def delay(self, one, other):
+    def delay(self, one, other, resend):
+        """`resend`: ms after which what is lost goes again for the first time."""
         if one.zone is None or other.zone is None:
             base = self.client
         else:
             base = self.same if one.zone == other.zone else self.cross
         if self.ways:
-            base += self.longer(one, other)
+            base += self.longer(one, other, resend)
         if self.links is not None and (way := self.links.ways.get((one.name, other.name))) is not None:
-            base += way.wait_ms + self.sent_again(way.loss)
+            base += way.wait_ms + self.sent_again(way.loss, resend)
         if not self.jitter:
             return self.hop + base
         return self.hop + base * (1.0 + self.jitter * self.expovariate(1.0))
 
-    RESEND = 200.0      # TCP's least retransmission time-out on Linux, ms; doubled each time (RFC 6298)
+    # TCP's retransmission time-outs, ms, doubled each time (RFC 6298): the least one on Linux, and that of a connection's first
+    # segment and its answer, of whose way nothing is known.
+    RESEND, FIRST_AGAIN = 200.0, 1000.0
+    FIRST = dict.fromkeys(("syn", "came_up", "turned_away"))
 
-    def longer(self, one, other):
+    def longer(self, one, other, resend):
         """What is lost on the way is sent again until it arrives."""
         more = 0.0
         ends = (one.name, one.zone), (other.name, other.zone)
         for first, second, wait, lost in self.ways:
             if first in ends[0] and second in ends[1] or second in ends[0] and first in ends[1]:
-                more += wait + self.sent_again(lost)
+                more += wait + self.sent_again(lost, resend)
         return more
 
-    def sent_again(self, lost):
-        more, again = 0.0, self.RESEND
+    def sent_again(self, lost, resend):
+        more, again = 0.0, resend
         while lost and self.random() < lost and again < 60_000.0:
             more, again = more + again, 2 * again
         return more
@@ -275,7 +279,8 @@
                 wire.peer.left = self.clock.time
             self.stalled.append((wire, one, to, call, args))
             return
-        when = self.clock.time + self.delay(one, other)
+        resend = self.FIRST_AGAIN if call.__name__ in self.FIRST else self.RESEND
+        when = self.clock.time + self.delay(one, other, resend)
         if when < wire.last:
             when = wire.last
         wire.last = when
