Slots by claims in order of draws: 4,096 for 512, and as many as the operators state

More of them could not be had as they were drawn: four bytes a slot and server, 131 MB and 1.1 s at 8,000.

Change: a server's draws name slots one after another, and a slot goes to whoever claims it first, over the weight: highest hash as before, in proportion to the weights also with few servers, found with some 14 draws a slot in all, however many servers there are. 4,096 slots by default, a power of two from 512 to 65,536 by fleet.slots (settings.slots), alike at all proxies. A process that takes over from one with another number fills its slots anew, as by a list; one of before refuses the state, and starts by itself. Weighed: draws kept for all slots at 16 bits (66 MB at 8,000), two steps of region and server (tables would differ from the paper's one), one number of slots by what is listed (proxies that started at different times would differ).

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -35,6 +35,8 @@
         "server[1]: 'a' stands at server[0] already"]),
     ('[[server]]', '[fleet]\nfurther_dials_free = 2\n[[server]]', [
         "fleet.further_dials_s: is missing beside further_dials_free or further_dials_share"]),
+    ('[[server]]', '[fleet]\nslots = 5000\n[[server]]', [
+        "fleet.slots: invalid enum value 5000, expected one of 512, 1024, 2048, 4096, 8192, 16384, 32768, 65536"]),
     ('127.0.0.1:0', 'here:99999', ["listen: 'here:99999' is not HOST:PORT"]),
     ('name = "edge"', 'name =', ["file.toml: Invalid value (at line 2, column 7)"])])
 def test_faults(tmp_path, monkeypatch, old, new, faults):
--- a/wheathill/config/__init__.py
+++ b/wheathill/config/__init__.py
@@ -118,6 +118,13 @@
     return duties.number("freeResends", 0.0), duties.number("resendRatio", 0.0), span * 1000
 
 
+def read_slots(settings):
+    slots = settings.count("slots", 4096)
+    if not 512 <= slots <= 65_536 or slots & (slots - 1):
+        raise Misconfigured(f"{settings.at('slots')}: must be a power of two from 512 to 65,536")
+    return slots
+
+
 def balancer_settings(settings):
     """What a Balancer is made with, beside its actions and its source of chance."""
     limits = settings.part("limits")
@@ -142,7 +149,7 @@
         "budget": read_budget(duties), "gone_binds": not duties.flag("onlyDrainingBinds"),
         "longest_wait": limits.ms("maxRetryAfterS", 0.0) if limits.flag("retryAfter") else 0.0,
         "tells_late": settings.part("familyInfo").flag("tellsDelay"),
-        "nines": goal.number("logLossPart", 0.0, 0.0, 1.0),
+        "nines": goal.number("logLossPart", 0.0, 0.0, 1.0), "slots": read_slots(settings),
         "passes_through": settings.part("familyInfo").text("mode", "proxy") == "pass"}
 
 
--- a/wheathill/config/operator.py
+++ b/wheathill/config/operator.py
@@ -65,6 +65,7 @@
     """What holds for all servers, and for the proxies together."""
 
     proxies: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    slots: Literal[512, 1024, 2048, 4096, 8192, 16_384, 32_768, 65_536] = 4096
     weights: Literal["registered", "off"] = "off"
     drain_grace_ms: Wait = 500.0
     cold_s: Seconds = 20.0
@@ -198,7 +199,7 @@
                            "dialTimeoutS": item.dial_timeout_ms / 1000, "utility": item.utility}
                           for item in file.listener],
             "tenants": [{"name": name} for name in file.desk], "dcs": file.zone,
-            "zone": file.zone.index(file.own_zone) if file.own_zone else 0, "balancers": fleet.proxies,
+            "zone": file.zone.index(file.own_zone) if file.own_zone else 0, "balancers": fleet.proxies, "slots": fleet.slots,
             "weightSource": "nominal" if fleet.weights == "registered" else "off",
             "limits": {"maxDials": limits.dials, "mayProbe": fleet.probes,
                        "retryAfter": limits.longest_wait_ms > 0,
--- a/wheathill/handover/state.py
+++ b/wheathill/handover/state.py
@@ -117,10 +117,11 @@
         slots = {name: [None if at is None else servers[whole(at)]
                         for at in expect(parts["table"][name], list)]
                  for name in ("home", "current", "new")}
-        if any(len(found) != table.size for found in slots.values()):
-            raise ValueError("a table of another size")
+        size = len(slots["home"])
+        if any(len(found) != size for found in slots.values()):
+            raise ValueError("tables of unlike sizes")
         opened = {whole(slot): number(when) for slot, when in parts["table"]["opened"]}
-        if any(slot >= table.size or slots["new"][slot] is None for slot in opened):
+        if any(slot >= size or slots["new"][slot] is None for slot in opened):
             raise ValueError("a slot is said to move nowhere")
         known = {name: {expect(key, str): (servers[whole(at)], number(when)) for key, at, when in parts[name]}
                  for name in ("moved", "exceptions")}
@@ -130,6 +131,9 @@
         if any(server is not None and server not in ready for found in slots.values() for server in found) \
                 or not all(server in addresses for server in ready):
             raise ValueError("a slot leads to a server that is not ready, or one that is has no address")
+        if size != table.size:
+            # Of a build with fewer or more slots: filled anew, as by a list.
+            slots, opened = {}, {}
         ids, names = ({expect(name, str): None for name in parts[which]} for which in ("ids", "names"))
         out = {expect(name, str): number(since) for name, since in rest["out"].items()}
         back = {expect(name, str): (number(since), number(until))
--- a/wheathill/peers/zoned.py
+++ b/wheathill/peers/zoned.py
@@ -114,7 +114,7 @@
         """Of one whose board is another. Not while news is on its way, as it is another at each for a moment; but where
         news comes all the time, what was lost of it is asked for all the same."""
         period = self.told.period
-        moment = now - self.changed_at < period / 2 and now - self.same_at < 2 * period
+        moment = now - self.changed_at < period / 2 and now - self.same_at < period
         if moment or now - self.asked_at.get(address, -period) < period:
             return
         for old in [old for old, when in self.asked_at.items() if now - when >= period]:
--- a/wheathill/policy.py
+++ b/wheathill/policy.py
@@ -23,30 +23,15 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big") % size
 
 
-def slot_draws(name, size):
-    """A number per slot, the same on every machine: the lowest over weight is the highest weighted hash."""
-    draws = array("I", hashlib.shake_128(name.encode()).digest(4 * size))
+def slot_draws(name, count):
+    """The first `count` draws of a server, the same on every machine, three numbers each: a slot, and the two
+    halves of a part of one."""
+    draws = array("H", hashlib.shake_128(name.encode()).digest(6 * count))
     if sys.byteorder == "big":
         draws.byteswap()
     return draws
 
 
-def lowest_draws(servers, size):
-    """(draw, place) of the lowest for each slot; of many, those of the lowest highest byte are compared."""
-    draws = [server.draws for server in servers]
-    if len(draws) < 64:
-        yield from ((low := min(column), column.index(low)) for column in zip(*draws))
-        return
-    block, high = b"".join(draws), 3 * (sys.byteorder == "little")
-    for slot in range(size):
-        tops = block[4 * slot + high::4 * size]
-        at = tops.find(0 if 0 in tops else min(tops))
-        low, top = (draws[at][slot], at), tops[at]
-        while (at := tops.find(top, at + 1)) >= 0:
-            low = min(low, (draws[at][slot], at))
-        yield low
-
-
 class SlotTable:
     """Current and new table; which server a session's key leads to."""
 
@@ -106,7 +91,7 @@
     def weigh(self, server):
         """What a server's hash counts for: its registered size. Exception: where crossing to another zone
         has a price, servers of the own zone weigh more; all proxies of a zone still fill alike."""
-        server.draws = server.draws or slot_draws(server.name, self.size)
+        server.draws = server.draws or slot_draws(server.name, 16)
         server.pull = server.weight * (self.near if server.zone == self.zone else 1.0)
 
     def others(self, slot):
@@ -115,14 +100,39 @@
         for at in range(slot + 1, slot + self.reach):
             yield self.new[at % self.size] or self.current[at % self.size]
 
+    def claim(self, slots, when, whom, pulls):
+        """Who claims these slots first: by slot `when`, and by `whom`, so far; `pulls`: server -> what it counts
+        for. A server's draws name slots one after another, the k-th at k and a part of one, over the pull. So slots
+        fall to servers in proportion, and only draws that can come first are made: some 14 a slot in all."""
+        at, mask = 0, self.size - 1
+        while True:
+            last = max(map(when.__getitem__, slots), default=0.0)
+            pulls = {server: pull for server, pull in pulls.items() if at < last * pull}
+            if not pulls:
+                return
+            upto = int(min(at + 16 + 4 * self.size // len(pulls), 1 + last * max(pulls.values())))
+            for server, pull in pulls.items():
+                if len(server.draws) < 3 * upto:
+                    server.draws = slot_draws(server.name, upto)
+                draws = server.draws
+                for k, slot in enumerate(draws[3 * at:3 * upto:3], at):
+                    if k / pull < when[slot & mask]:
+                        claimed = (k + draws[3 * k + 1] / 2 ** 16 + draws[3 * k + 2] / 2 ** 32) / pull
+                        if claimed < when[slot & mask]:
+                            when[slot & mask], whom[slot & mask] = claimed, server
+            at = upto
+
+    def settle(self, slots, servers):
+        self.claim(slots, self.lowest, self.home, {server: server.pull for server in servers})
+
     def stand(self, servers, slots, opened, known):
-        """As another process of this proxy left it."""
+        """As another process of this proxy left it; without slots where its table was of another size."""
         for server in servers:
             self.weigh(server)
-        self.home, self.current, self.new = slots["home"], slots["current"], slots["new"]
-        self.lowest = [home.draws[slot] / home.pull if home else math.inf
-                       for slot, home in enumerate(self.home)]
-        self.opened, self.moved, self.exceptions = opened, known["moved"], known["exceptions"]
+        self.settle(range(self.size), servers)
+        self.current, self.new = slots.get("current") or list(self.home), slots.get("new") or self.new
+        self.opened = opened
+        self.moved, self.exceptions = known["moved"], known["exceptions"]
 
     def update(self, now, joined, left, live):
         # One list may bring joins and leaves at once, and a joiner may inherit from who leaves.
@@ -133,27 +143,19 @@
 
     def join(self, now, joined):
         """Give joiners the slots that the highest hash gives them, about the mean count, whatever was
-        shifted: every proxy with the same list then arrives at the same slots. Only they are compared with
-        what stands, those of one weight by their draws as they stand: thousands come at once at the start."""
-        alike = {}
-        for server in joined:
-            alike.setdefault(server.pull, []).append(server)
-        for pull, servers in alike.items():
-            for part in (servers[first:first + 1024] for first in range(0, len(servers), 1024)):
-                for slot, (draw, place) in enumerate(lowest_draws(part, self.size)):
-                    if draw / pull < self.lowest[slot]:
-                        self.home[slot], self.lowest[slot] = part[place], draw / pull
+        shifted: every proxy with the same list then arrives at the same slots."""
         joined = dict.fromkeys(joined)
-        for slot, server in enumerate(self.home):
+        self.settle(range(self.size if joined else 0), joined)
+        for slot, server in enumerate(self.home if joined else ()):
             if server in joined and self.current[slot] is not server:
                 self.redirect(now, slot, server)
 
     def leave(self, left, live):
+        freed = [slot for slot, home in enumerate(self.home if left else ()) if home in left]
+        for slot in freed:
+            self.home[slot], self.lowest[slot] = None, math.inf
+        self.settle(freed, live)
         for slot in range(self.size if left else 0):
-            if self.home[slot] in left:
-                home = min(live, default=None, key=lambda server: server.draws[slot] / server.pull)
-                self.home[slot] = home
-                self.lowest[slot] = home.draws[slot] / home.pull if home else math.inf
             if self.new[slot] in left:
                 self.clear(slot)
             if self.current[slot] in left:
@@ -188,10 +190,14 @@
         server.shift_after = now + wait
         # Which slots go, and where to, is settled by hash, so that proxies which see the same levels
         # shift alike and a connection that arrives mid-flow at another proxy still finds its server.
-        free.sort(key=server.draws.__getitem__, reverse=True)
+        free.sort(key=lambda slot: (self.home[slot] is server, -self.lowest[slot]))
+        when, whom = [-math.inf] * self.size, [None] * self.size
+        for slot in free[:count]:
+            when[slot] = math.inf
+        self.claim(free[:count], when, whom,
+                   {other: other.pull * 2.0 ** (top - levels[other]) for other in lower})
         for slot in free[:count]:
-            self.redirect(now, slot, min(lower, key=lambda other: other.draws[slot] / other.pull
-                                         / 2.0 ** (top - levels[other])))
+            self.redirect(now, slot, whom[slot])
         return server, count
 
     def close(self, now):
@@ -551,7 +557,7 @@
         """Between 0 and 1, anew each window, which no two proxies begin together. Multiples of the golden
         ratio fill the circle evenly (Steinhaus's three gaps): below a part lies that part of the proxies."""
         window = max(0.0, now - server.started) / self.window + self.number / self.proxies
-        return ((self.number + int(window)) * self.GOLDEN + server.draws[0] / 2 ** 32) % 1.0
+        return ((self.number + int(window)) * self.GOLDEN + server.draws[0] / 2 ** 16) % 1.0
 
     def allows(self, now, server):
         if not self.cold(now, server):
@@ -886,10 +892,10 @@
     def __init__(self, actions, rng, *, zone, proxies, report_names, may_probe, must_ask, ask_every,
                  drain_grace, sized, start_share, cold_for, cold_multiple, cold_window, most_dials,
                  longest_wait, crossing_price, move_price, passes_through, budget=None, gone_binds=True,
-                 nines=0.0, tells_late=False, number=None):
+                 nines=0.0, tells_late=False, number=None, slots=4096):
         self.actions, self.passes_through = actions, passes_through
         self.uniform = rng.uniform
-        self.table = SlotTable(rng.choice, size=512, least=4, moved_share=0.2, hard_time_out=10_000.0,
+        self.table = SlotTable(rng.choice, size=slots, least=4, moved_share=0.2, hard_time_out=10_000.0,
                                keys_kept=4096, keys_age=60_000.0,
                                zone=zone, near=self.nearness(crossing_price, move_price), reach=32)
         self.levels = LoadLevels(report_names, proxies, fresh=5 * self.TICK, together=self.TICK, floor=5.0,
@@ -1126,7 +1132,7 @@
             share = excess if load >= 1.0 else excess / 2
             count = int(len(server.sessions) * share + self.uniform(0.0, 1.0))
             for sess in sorted(server.sessions, key=lambda sess: (self.table.home[sess.slot] is server,
-                                                                  -server.draws[sess.slot]))[:count]:
+                                                                  -self.table.lowest[sess.slot]))[:count]:
                 self.actions.move(sess)
             if count:
                 server.move_after = now + 2 * self.TICK
