--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -325,6 +325,23 @@
     assert fleet.proxies["a1-1"].told["missed", "draining"] - healed < 3000.0
 
 
+def test_while_news_comes_all_the_time_a_difference_is_asked_for_once_a_period():
+    fleet = small(4)
+    fleet.run(8)
+    one, asked = fleet.peers["a1-1"], []
+    ask, learn = one.ask, one.learn
+    one.ask = lambda address, since, tries: (asked.append(since), ask(address, since, tries))
+    # It never gets one half of them, so that its board is another for good, and changes all the time.
+    one.learn = lambda now, records, zone: learn(now, [each for each in records if each[0][-1] not in "13579"], zone)
+    for number in range(80):
+        fleet.change(f"news {number}", "c1-1")
+        fleet.run(0.1)
+    # What is asked again has the time of the first question.
+    times = list(dict.fromkeys(asked))
+    gaps = [later - earlier for earlier, later in zip(times, times[1:])]
+    assert len(times) >= 6 and 1000.0 <= min(gaps) and max(gaps) < 1500.0, gaps
+
+
 def test_what_differs_is_told_by_datagrams_a_bucket_at_a_time():
     """No connection has to come up for it, whose first segment, lost, goes again after a second."""
     fleet = small(5)
