--- a/review/stand_ins/rig.py
+++ b/review/stand_ins/rig.py
@@ -522,6 +522,11 @@
 Play = Callable[[Record, pathlib.Path, bool], Awaitable[bool]]
 
 
+def _on_terminated(*_: object) -> None:
+    end_all()
+    os._exit(NOT_RUN)
+
+
 async def _bounded(play: Play, record: Record, folder: str, trouble: bool) -> bool:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda *_: None)  # of stand-ins that are cancelled
@@ -534,6 +539,7 @@
     The first argument names the folder of the case. `play` gets the record, a
     temporary folder and whether there is trouble, and returns whether the rule held.
     """
+    signal.signal(signal.SIGTERM, _on_terminated)
     record = Record(pathlib.Path(sys.argv[1]) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"played {'with' if trouble else 'without'} the disruption")
