Review: the scripts name the record that they write

Need: whoever reads run.sh sees where the record goes.

Change: run.sh hands the path of record.txt down.

--- a/review/stand_ins/rig.py
+++ b/review/stand_ins/rig.py
@@ -536,11 +536,11 @@
 def main(play: Play) -> None:
     """Play a case and exit with 1 if the rule was broken, 0 if held, 2 if not run.
 
-    The first argument names the folder of the case. `play` gets the record, a
+    The first argument names the file of the record. `play` gets the record, a
     temporary folder and whether there is trouble, and returns whether the rule held.
     """
     signal.signal(signal.SIGTERM, _on_terminated)
-    record = Record(pathlib.Path(sys.argv[1]) / "record.txt")
+    record = Record(pathlib.Path(sys.argv[1]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"played {'with' if trouble else 'without'} the disruption")
     code = NOT_RUN
