Review: a setting as the sites have it

Cause: tellsLoad was false in the cases' settings, and is true in the site files; the program does not read it.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -49,7 +49,7 @@
         "familyInfo": {
             "mode": "proxy",
             "groups": True,
-            "tellsLoad": False,
+            "tellsLoad": True,
             "messageAimS": [0.1, 0.06, 0.05, 0.1],
         },
         "limits": {
