Review case 2: servers restart and the list is late, in place of an untrue list

Change: a third of the servers restart, and the list tells of their death and their start as late as the site file says; the stand-in servers can die and come back.

--- a/review/stand_ins/rig.py
+++ b/review/stand_ins/rig.py
@@ -15,6 +15,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -95,11 +96,27 @@
         self._report = report
         self._awake = asyncio.Event()
         self._awake.set()
+        self._listening: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        """Listen on a free port, or on the one from before."""
+        port = int(self.address.rsplit(":", 1)[1]) if self.address else 0
+        self._listening = await asyncio.start_server(self._serve, HOST, port)
+        self.address = f"{HOST}:{self._listening.sockets[0].getsockname()[1]}"
+        self._record.write(f"{self.name} runs at {self.address}")
+
+    def die(self) -> None:
+        """Reset all connections and refuse new ones, as a process that dies."""
+        assert self._listening is not None
+        self._record.write(f"{self.name} dies")
+        self._listening.close()
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
 
     def hang(self, on: bool) -> None:
         """Stop to read and answer, or go on; connections still come up."""
@@ -113,6 +130,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         session_id = ""
+        self._writers.add(writer)
         try:
             while first := await reader.read(1):
                 first_s = self._record.now()
@@ -137,6 +155,7 @@
             pass
         finally:
             self.holds.pop(session_id, None)
+            self._writers.discard(writer)
             writer.close()
 
     def _on_open(self, session_id: str, first_s: float, line: bytes) -> None:
@@ -207,10 +226,13 @@
             "hosts": list(self.entries.values()),
         }
 
-    def change(self, name: str, health: str) -> float:
+    def change(self, name: str, health: str, born_ms: int | None = None) -> float:
         """Tell all watches that a server is draining, gone or ready; return when."""
         self.version += 1
         entry = {**self._listed[name], "health": health}
+        if born_ms is not None:
+            entry["born_ms"] = born_ms
+            self._listed[name] = {**entry, "health": "ready"}
         self.entries[name] = entry
         if health == "gone":
             del self.entries[name]
