Log: the start of a shutdown says what is pending and when it ends

Change: it also has `pending`, the sessions without a final answer, and `ends_within`, the time after which the process ends at the latest, in ms.

--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -168,7 +168,12 @@
                 else self.limits.passthrough_shutdown_ms
             )
             self.shutdown_deadline_ms = self.stopping_since_ms + max_duration_ms
-            self.log_event(LogEvent.SHUTDOWN_STARTED, sessions=len(self.clients))
+            self.log_event(
+                LogEvent.SHUTDOWN_STARTED,
+                sessions=len(self.clients),
+                pending=sum(not client.is_up for client in self.clients.values()),
+                ends_within=round(max_duration_ms),
+            )
             if self.node.listen_fd is not None and self.listening_socket:
                 # Other processes listen on the same socket, and serve the clients that
                 # wait there.
