Shutdown: every session is answered before the planned kill, however long it may wait

Cause: `Proxy.stop` planned for the longest dial timeout and 0.4 s, 5.2 s here; the platform counts 3 s of it at most and kills 0.7 s later. Where packets pass through, nothing answered what was pending at all before the process' own 30 s were over. Change: pending sessions are answered after the longest dial timeout, 3 s at most, and 0.4 s, in both modes. Sessions in set-up get a deadline no later than that, so that further attempts and the time that servers are told fit into what is left. Nothing changes where no dial timeout is over 3 s: the kill follows the same sum.

--- a/wheathill/config/limits.py
+++ b/wheathill/config/limits.py
@@ -132,7 +132,10 @@
 
     # How long new clients are accepted after shutdown was requested.
     shutdown_accept_ms: float = 800.0
-    # Time allowed for shutdown in addition to the maximum dial timeout.
+    # Sessions that wait for their final answer are given the maximum dial timeout, but
+    # not more than this: the process is killed soon after, however long the timeout is.
+    max_shutdown_wait_ms: float = 3000.0
+    # Time allowed for these answers in addition.
     shutdown_margin_ms: float = 400.0
     # Maximum shutdown time of a proxy in passthrough mode.
     passthrough_shutdown_ms: float = 30_000.0
@@ -169,6 +172,12 @@
     # Interval between transfers of sessions that were set up in the meantime.
     handover_batch_interval_ms: float = 20.0
 
+    @property
+    def shutdown_answer_ms(self) -> float:
+        """How long after the start of a shutdown every session has its answer."""
+        longest_wait_ms = min(self.max_dial_timeout_ms, self.max_shutdown_wait_ms)
+        return longest_wait_ms + self.shutdown_margin_ms
+
 
 @dataclass(frozen=True)
 class BufferSizes:
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -60,7 +60,8 @@
         consecutive_watch_failures: watches in a row that were not answered.
         ready: whether the proxy accepts sessions.
         stopping_since_ms: when the shutdown began, or None.
-        shutdown_deadline_ms: when the remaining sessions are ended.
+        answer_deadline_ms: when a shutdown answers the sessions that are not up.
+        shutdown_deadline_ms: when it ends the remaining sessions.
         error_window_start_ms: since when protocol errors are counted for the log.
         errors_logged: protocol errors that were logged since then.
         balancer: takes the decisions.
@@ -100,7 +101,7 @@
         self.consecutive_watch_failures = 0
         self.ready = False
         self.stopping_since_ms = None
-        self.shutdown_deadline_ms = 0.0
+        self.answer_deadline_ms = self.shutdown_deadline_ms = 0.0
         self.error_window_start_ms = self.errors_logged = 0
         self.balancer = make_balancer(self, random.Random(node.seed), node.policy)
 
@@ -162,18 +163,23 @@
             # clients then reconnected at once, and were rejected.
             # Determined now, as a configuration that is loaded later may shorten the
             # dial timeouts of sessions that are here already.
+            answer_ms = self.limits.shutdown_answer_ms
             max_duration_ms = (
-                self.limits.max_dial_timeout_ms + self.limits.shutdown_margin_ms
+                answer_ms
                 if self.node.migrates_at_shutdown
                 else self.limits.passthrough_shutdown_ms
             )
+            self.answer_deadline_ms = self.stopping_since_ms + answer_ms
             self.shutdown_deadline_ms = self.stopping_since_ms + max_duration_ms
             self.log_event(
                 LogEvent.SHUTDOWN_STARTED,
                 sessions=len(self.clients),
                 pending=sum(not client.is_up for client in self.clients.values()),
+                answers_within=round(answer_ms),
                 ends_within=round(max_duration_ms),
             )
+            self.shorten_pending_sessions()
+            self.clock.at(self.answer_deadline_ms, self.answer_pending_sessions)
             if self.node.listen_fd is not None and self.listening_socket:
                 # Other processes listen on the same socket, and serve the clients that
                 # wait there.
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -62,6 +62,10 @@
             AttemptOutcome.CONNECT_FAILED,
         )
 
+    def limit_time(self, latest_ms):
+        """State a shorter time to the server if it has not been sent the line yet."""
+        self.deadline_ms = min(self.deadline_ms, latest_ms)
+
     @property
     def is_connect_postponed(self):
         """Whether unread input may cancel the attempt, and is to be read first.
