Lab: a stopping proxy is killed when the platform would kill it

Cause: the lab killed a proxy 0.7 s after the longest dial timeout, however long that is; the platform counts 3 s of it at most. So no play could show a shutdown that outlives its kill, and no script had dial timeouts over 3 s. Test: a proxy with the fault of put back is named in that script ("its connection reset without an answer"); with the old time of the kill it is not.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 from drive import kept
 from wheathill.config.errors import ConfigurationError
 from wheathill.lab.judging.baselines import by_weight
-from wheathill.lab.judging.mutants import MUTANTS
+from wheathill.lab.judging.mutants import MUTANTS, OutlivesItsKill
 from wheathill.lab.scripts import language as scripts
 from wheathill.lab.scripts.run import play
 from wheathill.lab.scripts.scene import Scene
@@ -218,6 +218,15 @@
     )
 
 
+def test_a_shutdown_that_outlives_its_kill_is_caught():
+    # Guards against a lab that kills a stopping proxy later than the platform does.
+    script = scripts.read("experiments/roll-while-servers-hang.toml")
+    found = play(script, proxy=OutlivesItsKill).breaches
+    assert {(breach.rule, breach.what) for breach in found} == {
+        (1, "its connection reset without an answer")
+    }
+
+
 @pytest.mark.processes
 def test_same_seed_same_bytes():
     def fingerprint(hash_seed, seed):
--- a/wheathill/lab/judging/mutants.py
+++ b/wheathill/lab/judging/mutants.py
@@ -1,5 +1,6 @@
 """Proxies with one deliberate fault each, which a judge must name: they prove that the judges can fail."""
 
+import math
 from dataclasses import replace
 from itertools import count
 
@@ -178,6 +179,15 @@
             raise RuntimeError("on purpose")
 
 
+class OutlivesItsKill(Proxy):
+    """Plans a shutdown for the longest dial timeout, however soon it is killed."""
+
+    def apply_config(self, node):
+        """Wait for pending sessions without limit."""
+        limits = replace(node.limits, max_shutdown_wait_ms=math.inf)
+        super().apply_config(replace(node, limits=limits))
+
+
 # Name -> (proxy class, number of the rule it breaks, part of the judge's message).
 MUTANTS = {
     "answers twice": (AnswersTwice, 1, "after the final answer"),
--- a/wheathill/lab/scripts/scene.py
+++ b/wheathill/lab/scripts/scene.py
@@ -38,6 +38,7 @@
     list_gateways,
     proxy_names,
 )
+from wheathill.lab.scripts.planned_kill import planned_kill_delay_ms
 from wheathill.lab.scripts.record import Record
 from wheathill.lab.worlds.tap import Cut
 from wheathill.log_events import LogEvent
@@ -479,17 +480,17 @@
         """Restart a proxy as planned.
 
         It is told to stop, gets no new clients after 300 ms, and is killed if it is still
-        running at its deadline.
+        running after `planned_kill_delay_ms`.
         """
         seat = self.seats[name]
         if seat.running:
             self.clock.after(300.0, self.front.drop, name)
-            longest_dial_timeout_ms = max(
-                item.dial_timeout_ms for item in self.script.listener
-            )
             start_count = seat.starts
             timer = self.clock.after(
-                longest_dial_timeout_ms + 700.0, self.finish_restart, name, start_count
+                planned_kill_delay_ms(self.script.listener),
+                self.finish_restart,
+                name,
+                start_count,
             )
             seat.stop(lambda: self.stop_completed(name, timer, start_count))
 
@@ -739,7 +740,7 @@
             "known": agent.known(),
             "seed": f"{self.seed}/{on}/{seat.starts}",
         }
-        seat.upgrade(max(item.dial_timeout_ms for item in self.script.listener))
+        seat.upgrade(planned_kill_delay_ms(self.script.listener))
 
     def do_by_hand(self, event, on):
         """Put a gateway into maintenance at every proxy, restart it, and end the maintenance.
--- a/wheathill/lab/worlds/beside.py
+++ b/wheathill/lab/worlds/beside.py
@@ -199,22 +199,22 @@
         self.open_to_operators(carrier)
         UpgradeCoordinator(self.proxy, carrier, self.host.clock, self.log).begin()
 
-    def upgrade(self, longest):
-        """A second process beside; at its yes the first is told to stop, and killed when it had its time."""
+    def upgrade(self, kill_delay_ms):
+        """Start a second process; once it is ready, stop the first, and kill it after that delay."""
         self.old = self.host, self.proxy
         self.host = VirtualHost(self.world.net, self.name, self.zone)
         self.start()
-        self.wait_for_yes(*self.old, longest)
+        self.wait_for_yes(*self.old, kill_delay_ms)
 
-    def wait_for_yes(self, host, proxy, longest):
+    def wait_for_yes(self, host, proxy, kill_delay_ms):
         clock = self.world.clock
         if not self.running:
             return
         if not self.proxy.ready:
-            return clock.after(20.0, self.wait_for_yes, host, proxy, longest)
+            return clock.after(20.0, self.wait_for_yes, host, proxy, kill_delay_ms)
         if host.alive:
             host.clock.soon(proxy.stop, host.kill)
-            clock.after(longest + 700.0, host.kill)
+            clock.after(kill_delay_ms, host.kill)
 
     def kill(self):
         if self.old:
