Lab: an attempt that a server reads after a pause is not a second one at once

Cause: a paused server reads what came meanwhile when it goes on. The judge of effects took the time of reading for that of the attempt, and named "two dials out at once" for a session whose proxy had given that attempt up a second before. Change: what is read at the moment in which a server goes on isn't compared, as the ends of attempts at paused servers are not either. The check on once-only sessions, which needs no order, stays as it was.

--- a/wheathill/lab/judging/judges.py
+++ b/wheathill/lab/judging/judges.py
@@ -257,6 +257,8 @@
         # session -> {server: how the attempt there ended, None while it has not}
         self.outcomes = {}
         self.executions = {}  # session -> [(when, server)]
+        self.unavailable = set()  # hosts that are dead, silent or paused
+        self.resumed_ms = {}  # host -> when it last became available
 
     def on_open(self, now, sess, listener, mid, **_):
         """Start to watch a session; packets of a mid-flow one have no further effect."""
@@ -278,6 +280,8 @@
                             server,
                         )
             outcomes[server] = None
+        if self.is_read_late(now, server):
+            return
         open_attempts = self.open_attempts.setdefault(sess, {})
         for other, times in open_attempts.items():
             # The end of the earlier attempt may not have arrived yet.
@@ -310,9 +314,21 @@
 
     def on_host(self, now, name, state):
         """Forget the attempts at a host that is dead, silent or paused: their ends can't be seen."""
-        if state != "up":
+        if state == "up":
+            self.unavailable.discard(name)
+            self.resumed_ms[name] = now
+        else:
+            self.unavailable.add(name)
             self.forget_attempts(name)
 
+    def is_read_late(self, now, server):
+        """Return whether a server reads now what came while it was paused.
+
+        It is not known when that came. The proxy may have given the attempt up since, and
+        made another one.
+        """
+        return server in self.unavailable or self.resumed_ms.get(server) == now
+
     def forget_attempts(self, server):
         """Forget the open attempts at a server."""
         for open_attempts in self.open_attempts.values():
