Lab: a refusal mid-flow is judged by what this proxy's own attempts did

Cause: where packets pass, a session that is up arrives at another proxy when its own is gone. The judge of effects named that proxy's BUSY ("refused although it ran"), as the session had run at the proxy before, which had answered UP. Change: only what ran since the answering proxy took the session counts. What runs mid-flow is judged as before. Test: two tests, of which the first failed before.

--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -83,3 +83,41 @@
         repeat="once-only",
     )
     assert found == ["dialled again, once-only, though the dial at b may have run"]
+
+
+def ran(now_ms: float, server: str) -> tuple:
+    """Returns the event of a request that took effect."""
+    return now_ms, "ran", {"sess": SESSION, "server": server, "copy": False}
+
+
+def answered(now_ms: float, word: str) -> tuple:
+    """Returns the event of an answer that the client got."""
+    return now_ms, "answer", {"sess": SESSION, "word": word, "rest": ""}
+
+
+def test_packets_that_arrive_mid_flow_may_be_refused():
+    # Guards against counting what ran at another proxy, whose answer was UP.
+    found = judged(
+        opened(0.0),
+        dialled(10.0, "a"),
+        ran(20.0, "a"),
+        answered(30.0, "UP"),
+        opened(1000.0, mid=True),
+        answered(1010.0, "BUSY"),
+    )
+    assert found == []
+
+
+def test_what_ran_mid_flow_may_not_be_refused():
+    # Guards against a judge that no longer looks at packets that arrive mid-flow.
+    found = judged(
+        opened(0.0),
+        dialled(10.0, "a"),
+        ran(20.0, "a"),
+        answered(30.0, "UP"),
+        opened(1000.0, mid=True),
+        dialled(1005.0, "b"),
+        ran(1010.0, "b"),
+        answered(1020.0, "BUSY"),
+    )
+    assert "refused although it ran at b" in found
--- a/wheathill/lab/judging/judges.py
+++ b/wheathill/lab/judging/judges.py
@@ -257,12 +257,14 @@
         # session -> {server: how the attempt there ended, None while it has not}
         self.outcomes = {}
         self.executions = {}  # session -> [(when, server)]
+        self.taken_ms = {}  # session -> when its present proxy has taken it
         self.unavailable = set()  # hosts that are dead, silent or paused
         self.resumed_ms = {}  # host -> when it last became available
 
     def on_open(self, now, sess, listener, mid, **_):
         """Start to watch a session; packets of a mid-flow one have no further effect."""
         self.outcomes[sess] = None if mid else {}
+        self.taken_ms[sess] = now
         if not mid:
             self.listeners[sess] = listener
 
@@ -355,16 +357,23 @@
         executions.append((now, server))
 
     def on_answer(self, now, sess, word, rest):
-        """Check that a session that had an effect is not rejected."""
+        """Check that a session that had an effect is not rejected.
+
+        Where packets pass, a session that was up at another proxy may arrive: that it ran
+        before concerns the other proxy's answer, which was UP.
+        """
         repeat, scope, _ = self.repeat_rule(sess)
+        ran_at = [
+            server
+            for when_ms, server in self.executions.get(sess, ())
+            if when_ms >= self.taken_ms.get(sess, 0.0)
+        ]
         if (
             word == "BUSY"
-            and self.executions.get(sess)
+            and ran_at
             and (repeat == "once-only" or repeat == "referenced" and scope != "all")
         ):
-            self.report_breach(
-                now, f"refused although it ran at {self.executions[sess][-1][1]}", sess
-            )
+            self.report_breach(now, f"refused although it ran at {ran_at[-1]}", sess)
 
     def finish(self, now):
         """Report attempts that overlapped until the end."""
