Lab: servers count the window of a repeat from the first request, not from its run

Cause: a server of the lab took a repeat for a new request where the two *ran* further apart than the window. The window is told to proxies as from the sending of the first attempt, and a set-up may wait long for the store. Change: the window is measured between the requests, as they were received. Test: test_a_repeat_counts_from_when_the_first_request_was_sent failed before.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -227,6 +227,48 @@
     }
 
 
+SLOW_STORE = """
+name = "slow-store"
+about = "Two requests of one session run over half a second apart, as the store is slow."
+seconds = 6
+[[listener]]
+name = "any"
+repeat = "referenced"
+scope = "all"
+window_s = 0.3
+dial_timeout_ms = 400
+[proxies]
+probes = false
+[store]
+at_once = 1
+call_ms = 600
+[[gateways]]
+count = 2
+[[clients]]
+name = "c"
+listener = "any"
+count = 1
+tries = 1
+"""
+
+
+def test_a_repeat_counts_from_when_the_first_request_was_sent():
+    # Guards against servers that forget a request while its set-up waits for the store.
+    result = play(scripts.parse_script(tomllib.loads(SLOW_STORE)))
+    times = {"dial": [], "ran": []}
+    copies = []
+    for now, kind, fields in result.scene.record.events:
+        if kind in times:
+            times[kind].append(now)
+        if kind == "ran":
+            copies.append(fields["copy"])
+    assert (
+        times["dial"][1] - times["dial"][0] < 300.0 < times["ran"][1] - times["ran"][0]
+    )
+    assert copies[:2] == [False, True]
+    assert result.breaches == []
+
+
 @pytest.mark.processes
 def test_same_seed_same_bytes():
     def fingerprint(hash_seed, seed):
--- a/wheathill/lab/cast/gateway.py
+++ b/wheathill/lab/cast/gateway.py
@@ -29,7 +29,8 @@
         chance: random source of the durations of work.
         store: the session store, which is called for every set-up.
         dedup: for each listener with `repeat = "referenced"`, the window in ms and the
-            table shared by the deduplication scope: session id -> when it ran.
+            table shared by the deduplication scope: session id -> when the request that
+            ran first was received.
         cores: how many pieces of work run at a time.
         speed: factor on the speed of a core.
         queue: the most pieces of work that may wait for a core.
@@ -337,11 +338,17 @@
                 self._send_final_answer(b"ERR")
 
     def _run(self):
-        gateway, now = self.gateway, self.clock.now()
-        window, run_times = gateway.dedup.get(self.head.values.get("c"), (0.0, {}))
-        copy = self.head.id in run_times and now - run_times[self.head.id] < window
+        gateway, session_id = self.gateway, self.head.id
+        window_ms, first_requests = gateway.dedup.get(
+            self.head.values.get("c"), (0.0, {})
+        )
+        # Measured between the requests, as the proxy does: set-ups may take long.
+        copy = (
+            session_id in first_requests
+            and self.first - first_requests[session_id] < window_ms
+        )
         if not copy:
-            run_times[self.head.id] = now
+            first_requests[session_id] = self.first
         gateway.record.note("ran", server=gateway.name, sess=self.head.id, copy=copy)
 
     def _continue_session(self):
