Sessions: no MOVE behind the server's own last line

Callers saw: MOVE twice, or MOVE behind BYE, for which a client comes again with a session that was complete; where a proxy moves a session in the moment between its server's last line and the end of the stream. Cause: `Client.migrate` asked only whether the server's bytes stand between two lines. Change: behind BYE or MOVE the proxy closes without a line, and the session counts as its server ended it. All ways of moving sessions pass there. Test: four in tests/test_shutdown.py failed before (BYE and MOVE, whole and in pieces).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -141,3 +141,35 @@
     restart.run_until(restart.since_stop() + 2000.0)
     assert restart.answers(open_session) == ["UP"]
     assert restart.answers(newcomer) == ["UP"]
+
+
+@pytest.mark.parametrize("last_line", ["BYE", "MOVE"])
+@pytest.mark.parametrize("in_pieces", [False, True])
+def test_a_session_that_its_server_has_ended_is_not_told_to_move(
+    last_line: str, in_pieces: bool
+) -> None:
+    # Guards against MOVE behind BYE, for which a client comes again, and a second MOVE.
+    restart = PlannedRestart("proxy", 2000.0)
+    client = restart.open()
+    server = restart.scene.server()
+    server.send("UP r1\r\n")
+    restart.scene.proxy.run(20.0)
+    if in_pieces:
+        server.send(last_line[:2])
+        restart.scene.proxy.run(20.0)
+        restart.scene.proxy.stop()
+        restart.scene.proxy.run(20.0)
+        server.send(last_line[2:] + "\r\n")
+    else:
+        server.send(last_line + "\r\n")
+        restart.scene.proxy.run(20.0)
+        restart.scene.proxy.stop()
+    restart.scene.proxy.run(500.0)
+    server.finish()
+    restart.scene.proxy.run(3000.0)
+    told = "".join(
+        line.partition(" gets ")[2].replace("\\r\\n", " ")
+        for line in restart.scene.lines
+        if f" {client.name} gets " in line
+    )
+    assert told.split() == ["UP", "r1", last_line, "(end)"]
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -158,13 +158,16 @@
         """Send MOVE and close; return whether that was done.
 
         MOVE may stand only between two lines, so an incomplete line from the server is
-        waited for.
+        waited for. It is omitted behind the server's own last line.
         """
         self.is_migrating = not self.attempt.between_lines
         if self.is_migrating:
             return False
         self.attempt.timer.cancel()
-        self.answer(b"MOVE")
+        if self.attempt.has_sent_last_line:
+            self.connection.close_gracefully()
+        else:
+            self.answer(b"MOVE")
         self.attempt.connection.close_gracefully()
         return True
 
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -204,6 +204,11 @@
         """Whether the last line that was forwarded is complete."""
         return not self.partial_line
 
+    @property
+    def has_sent_last_line(self):
+        """Whether the server has ended the session by a line: BYE or MOVE."""
+        return self.outcome is not AttemptOutcome.RESET
+
     def blocked(self, on):
         """Stop reading from the client while bytes wait to be sent."""
         if not on:
--- a/wheathill/net/session_handling.py
+++ b/wheathill/net/session_handling.py
@@ -713,16 +713,21 @@
 
     def migrate_client(self, client):
         """Send MOVE, now or once the server has completed its line."""
-        if client.migrate():
-            client.attempt.is_over = True
-            session = client.session
-            self.end_session(session, "moved")
-            # Deferred: the caller may be iterating over the sessions.
-            self.clock.soon(self.report_migrated, session)
-
-    def report_migrated(self, session):
-        """Tell the balancer that a session has ended by migration."""
-        self.balancer.on_outcome(self.now(), session, AttemptOutcome.CANCELLED, True)
+        if not client.migrate():
+            return
+        attempt, session = client.attempt, client.session
+        attempt.is_over = True
+        if attempt.has_sent_last_line:
+            outcome, reason = attempt.outcome, attempt.outcome.value
+        else:
+            outcome, reason = AttemptOutcome.CANCELLED, "moved"
+        self.end_session(session, reason)
+        # Deferred: the caller may be iterating over the sessions.
+        self.clock.soon(self.report_migrated, session, outcome)
+
+    def report_migrated(self, session, outcome):
+        """Tell the balancer how a session has ended by migration."""
+        self.balancer.on_outcome(self.now(), session, outcome, True)
 
     def set_timer(self, timer, at_ms):
         """Call `Balancer.on_timer` with this timer at that time."""
