Shutdown is a module of its own: net/graceful_shutdown

Cause: `Proxy` held the six methods and three attributes of a shutdown beside starting, serving and metrics, without types. No behaviour changes.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,6 +17,7 @@
         "wheathill.net.discovery",
         "wheathill.net.errors",
         "wheathill.net.fault_isolation",
+        "wheathill.net.graceful_shutdown",
         "wheathill.net.line_buffer",
         "wheathill.net.load_report",
         "wheathill.net.maintenance_store",
--- a/wheathill/net/admin/interfaces.py
+++ b/wheathill/net/admin/interfaces.py
@@ -37,7 +37,6 @@
         clock: provides the time and timers.
         ready: whether it accepts sessions.
         handed_over: whether another process has taken over.
-        stopping_since_ms: when the shutdown began, in ms; None before it.
         known_names: names of all servers that the endpoint list has ever contained.
     """
 
@@ -45,9 +44,12 @@
     clock: Any
     ready: bool
     handed_over: bool
-    stopping_since_ms: float | None
     known_names: Container[str]
 
+    @property
+    def stopping_since_ms(self) -> float | None:
+        """When the shutdown began, in ms; None before it."""
+
     def now(self) -> float:
         """Return the monotonic time in ms."""
 
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -12,6 +12,7 @@
 
 from wheathill.log_events import LogEvent
 from wheathill.model import Phase, UpdateKind
+from wheathill.net.graceful_shutdown import GracefulShutdown
 from wheathill.net.metrics import ProxyMetrics
 from wheathill.net.session_handling import SessionHandlingMixin
 from wheathill.net.update_handling import UpdateHandlingMixin
@@ -59,9 +60,7 @@
         watch_end_reason: why the last watch ended, if nothing was received since.
         consecutive_watch_failures: watches in a row that were not answered.
         ready: whether the proxy accepts sessions.
-        stopping_since_ms: when the shutdown began, or None.
-        answer_deadline_ms: when a shutdown answers the sessions that are not up.
-        shutdown_deadline_ms: when it ends the remaining sessions.
+        shutdown: ends this process gracefully, once it was told to stop.
         error_window_start_ms: since when protocol errors are counted for the log.
         errors_logged: protocol errors that were logged since then.
         balancer: takes the decisions.
@@ -100,8 +99,7 @@
         self.watch_end_reason = None
         self.consecutive_watch_failures = 0
         self.ready = False
-        self.stopping_since_ms = None
-        self.answer_deadline_ms = self.shutdown_deadline_ms = 0.0
+        self.shutdown = GracefulShutdown(self)
         self.error_window_start_ms = self.errors_logged = 0
         self.balancer = make_balancer(self, random.Random(node.seed), node.policy)
 
@@ -150,115 +148,13 @@
             self.log_event(LogEvent.READY, servers=len(self.servers))
 
     def stop(self, on_stopped):
-        """Shut down gracefully.
+        """Shut down gracefully; `on_stopped` is called once all is done."""
+        self.shutdown.begin(on_stopped)
 
-        New clients are still accepted and served for a while. `on_stopped` is called
-        once all is done.
-        """
-        if self.stopping_since_ms is None:
-            self.stopping_since_ms = self.now()
-            self.ready = False
-            # Where packets pass through, open connections continue at other proxies
-            # once this process is killed, but break if they are closed here: all their
-            # clients then reconnected at once, and were rejected.
-            # Determined now, as a configuration that is loaded later may shorten the
-            # dial timeouts of sessions that are here already.
-            answer_ms = self.limits.shutdown_answer_ms
-            max_duration_ms = (
-                answer_ms
-                if self.node.migrates_at_shutdown
-                else self.limits.passthrough_shutdown_ms
-            )
-            self.answer_deadline_ms = self.stopping_since_ms + answer_ms
-            self.shutdown_deadline_ms = self.stopping_since_ms + max_duration_ms
-            self.log_event(
-                LogEvent.SHUTDOWN_STARTED,
-                sessions=len(self.clients),
-                pending=sum(not client.is_up for client in self.clients.values()),
-                answers_within=round(answer_ms),
-                ends_within=round(max_duration_ms),
-            )
-            self.shorten_pending_sessions()
-            self.clock.at(self.answer_deadline_ms, self.answer_pending_sessions)
-            if self.node.listen_fd is not None and self.listening_socket:
-                # Other processes listen on the same socket, and serve the clients that
-                # wait there.
-                self.listening_socket.close()
-            self.clock.after(
-                self.limits.sweep_interval_ms
-                if self.handed_over
-                else min(
-                    self.limits.shutdown_accept_ms,
-                    max_duration_ms - self.limits.sweep_interval_ms,
-                ),
-                self.check_shutdown,
-                on_stopped,
-            )
-            if not self.handed_over:
-                self.balancer.on_stop(self.stopping_since_ms, False)
-
-    def check_shutdown(self, on_stopped):
-        """End the shutdown once no session is left, or at its deadline."""
-        now = self.now()
-        is_deadline_over = now >= self.shutdown_deadline_ms
-        if is_deadline_over or not self.handed_over:
-            self.balancer.on_stop(now, is_deadline_over)
-        if is_deadline_over:
-            self.answer_pending_sessions()
-        if is_deadline_over or not self.may_have_sessions():
-            self.log_event(
-                LogEvent.SHUTDOWN_FINISHED,
-                sessions=len(self.clients),
-                since_start=self.metrics.log_fields(),
-            )
-            self.wait_until_sent(on_stopped, now + self.limits.shutdown_linger_ms)
-        else:
-            self.clock.after(
-                min(self.limits.sweep_interval_ms, self.shutdown_deadline_ms - now),
-                self.check_shutdown,
-                on_stopped,
-            )
-
-    def may_have_sessions(self):
-        """Return whether a session is here, or its OPEN line may wait to be read.
-
-        That line may be of a client that was accepted, or that waits to be. A client
-        that has sent PING only checks whether this proxy is alive. After a handover all
-        clients are waited for.
-        """
-        return bool(
-            self.clients
-            or self.early_clients
-            or self.listening_socket
-            and self.listening_socket.waiting
-            or any(
-                self.handed_over
-                or not client.ping_count
-                or client.connection.has_unread_bytes
-                for client in self.silent_clients
-            )
-        )
-
-    def wait_until_sent(self, on_stopped, linger_until_ms):
-        """End once the last answers and MOVE lines have been sent.
-
-        Closing with bytes unread or unsent would cut them off. It does not wait beyond
-        the time after which this process may be killed.
-        """
-        now, closing = self.now(), list(self.transport.closing_connections)
-        if closing and (
-            now < linger_until_ms
-            or now < self.shutdown_deadline_ms + self.limits.shutdown_linger_ms
-            and any(connection.unsent_bytes for connection in closing)
-        ):
-            self.clock.after(
-                self.limits.shutdown_poll_interval_ms,
-                self.wait_until_sent,
-                on_stopped,
-                linger_until_ms,
-            )
-        else:
-            on_stopped()
+    @property
+    def stopping_since_ms(self):
+        """When the shutdown began, or None."""
+        return self.shutdown.started_ms
 
     # Metrics
 
--- a/wheathill/net/session_handling.py
+++ b/wheathill/net/session_handling.py
@@ -4,7 +4,6 @@
 carried out here.
 """
 
-import math
 from itertools import islice
 
 from wheathill.log_events import LogEvent
@@ -132,7 +131,7 @@
         ) - (now - received_ms)
         if remaining_ms < -self.limits.max_answer_delay_ms:
             return self.drop_client(client)
-        remaining_ms = min(remaining_ms, self.ms_until_shutdown_answers(now))
+        remaining_ms = min(remaining_ms, self.shutdown.ms_until_answers(now))
         tenant = request.values.get("t")
         if (
             tenant is not None
@@ -176,30 +175,6 @@
             client.set_timer(remaining_ms, self.on_deadline_missed, client)
             self.balancer.on_session(now, session)
 
-    def ms_until_shutdown_answers(self, now):
-        """Return how long a new session may wait for its answer, apart from its timeout.
-
-        That is unlimited unless a shutdown is in progress. It is so again after the
-        answers of the shutdown, as who let this process go on is in no hurry.
-        """
-        if self.stopping_since_ms is None or now >= self.answer_deadline_ms:
-            return math.inf
-        return self.answer_deadline_ms - now
-
-    def shorten_pending_sessions(self):
-        """Let the sessions that are not up know that this process will end.
-
-        Further attempts then have only the time that is left until the shutdown answers
-        what is pending.
-        """
-        latest_ms = self.answer_deadline_ms - self.limits.answer_margin_ms
-        for session, client in self.clients.items():
-            if client.is_up:
-                continue
-            session.deadline_ms = min(session.deadline_ms, latest_ms)
-            if client.attempt is not None:
-                client.attempt.limit_time(latest_ms)
-
     def admit_before_list(self, client):
         """Admit a client whose time is too short to wait for the endpoint list."""
         if self.early_clients and client in self.early_clients:
