Peers: a datagram that is due after the socket was closed is dropped

Cause: a tick due in the last iterations of the loop, after `leave`, sends on a transport that has given up its socket and its loop. Change: `DatagramSocket.send` drops what is sent after `close`. Test: test_datagram_socket failed before with that very exception.

--- a/wheathill/net/datagram_socket.py
+++ b/wheathill/net/datagram_socket.py
@@ -70,10 +70,13 @@
         """Ignore ICMP errors; senders that need to know detect the loss themselves."""
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram, or drop it if the socket's send buffer is full."""
+        """Send a datagram, or drop it if the send buffer is full or the socket closed."""
         if self.asyncio_transport is None:
             self._queued.append((data, address))
-        elif not self.asyncio_transport.get_write_buffer_size():
+        elif not (
+            self.asyncio_transport.is_closing()
+            or self.asyncio_transport.get_write_buffer_size()
+        ):
             self.asyncio_transport.sendto(data, address)
 
     def close(self) -> None:
