--- a/wheathill/net/datagram_socket.py
+++ b/wheathill/net/datagram_socket.py
@@ -70,7 +70,7 @@
         """Ignore ICMP errors; senders that need to know detect the loss themselves."""
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram, or drop it if the send buffer is full or the socket closed."""
+        """Send a datagram; drop it if the buffer is full or the socket is closed."""
         if self.asyncio_transport is None:
             self._queued.append((data, address))
         elif not (
