--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 PYTHON ?= python3
 VENV := .venv-lab
 JOBS ?= 4
+SEEDS ?= 1..2000
 READY := $(VENV)/.ready
 
-.PHONY: run test test-quick lint same same-quick same-simulator
+.PHONY: run test test-quick lint same same-quick same-simulator soak
 
 run: $(READY)
 	$(VENV)/bin/python -m wheathill lab run experiments/first.toml --world sockets --report found
@@ -32,6 +33,10 @@
 same-simulator: $(READY)
 	LBSIM=$(LBSIM) SITE=$(SITE) $(VENV)/bin/python tests/exactness/simulator.py compare
 
+# Planned restarts that meet other disruptions, drawn at random: make soak SEEDS=1..5000
+soak: $(READY)
+	$(VENV)/bin/python tests/soak/run.py --seeds $(SEEDS) --jobs $(JOBS)
+
 $(READY): requirements.txt requirements-lab.txt requirements-test.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-lab.txt -r requirements-test.txt
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded plays of planned restarts that meet other disruptions."""
