--- a/review/stand_ins_2/stage.py
+++ b/review/stand_ins_2/stage.py
@@ -90,6 +90,8 @@
         up_after_s: how long it takes to set a session up.
         capacity: sessions that make a load of 1.
         held: connections of sessions that are up or being set up.
+        bears: returns how many new sessions it bears in a second at a time, if that
+            is limited; with more it falls over and stays down.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self.capacity = 200.0
         self.held: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self.bears: Callable[[float], float] | None = None
         self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -122,6 +125,18 @@
             writer.transport.abort()
         self.held.clear()
 
+    def _falls_over(self, at: float) -> bool:
+        """Fall over if more sessions have come within the last second than it bears."""
+        if self.bears is None:
+            return False
+        opens = self.record.find("open", server=self.name)
+        count = sum(at - 1.0 < note["t"] <= at for note in opens)
+        if count <= self.bears(at):
+            return False
+        self.record.note("fell over", server=self.name, count=count)
+        self.kill()
+        return True
+
     def entry(self, health: str = "ready", born_ms: float = 0) -> dict[str, Any]:
         """Return the server's entry of the list, in discovery's form."""
         return {
@@ -170,6 +185,8 @@
             elif session is None:
                 session = line.split(b" ")[1].decode()
                 self.record.note("open", at, server=self.name, id=session)
+                if self._falls_over(at):
+                    return
                 self.held.add(writer)
                 await asyncio.sleep(self.up_after_s)
                 writer.write(f"UP r-{self.name}-{session}\r\n".encode())
@@ -472,7 +489,7 @@
 
     async def _return(self) -> None:
         await asyncio.sleep(self.stage.rng.uniform(*RETURN_S))
-        if not self.stage.is_over:
+        if not self.stage.is_over and not self.stage.is_front_away:
             self.stage.open(self.listener, ",again=1")
 
 
@@ -482,6 +499,8 @@
     Attributes:
         config: the configuration of the proxy, as the platform writes it.
         listening: the clients' listening socket, where the platform holds it.
+        is_front_away: whether the front has noticed that the proxy ends; clients that
+            come again then go to other proxies.
         is_over: whether the judgement was made; what ends from then on says nothing.
     """
 
@@ -499,6 +518,7 @@
         self.servers: dict[str, Server] = {}
         self.clients: list[Client] = []
         self.is_over = False
+        self.is_front_away = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def add_servers(self, names: str, **options: Any) -> list[Server]:  # noqa: ANN401
@@ -608,6 +628,12 @@
     ]
 
 
+def cut_off(stage: Stage, server: str, after: float) -> int:
+    """Return how many sessions of a server ended without BYE or MOVE since a time."""
+    ends = stage.record.find("session ended", server=server, how="cut off")
+    return sum(note["t"] > after for note in ends)
+
+
 async def _run(folder: pathlib.Path, play: Callable[[Stage], Awaitable[str]]) -> int:
     stage = Stage(folder)
     task = asyncio.current_task()
