--- a/review/stand_ins_2/sites.py
+++ b/review/stand_ins_2/sites.py
@@ -74,40 +74,6 @@
     return copy.deepcopy(ORDER_ENTRY)
 
 
-def glasgow_west() -> dict[str, Any]:
-    """Return settings like those of glasgow-west, with its two further rules."""
-    settings = order_entry()
-    settings["listeners"] = [
-        {
-            "name": "live-feed",
-            "repeat": "retryable",
-            "dedupScope": "all",
-            "windowS": 5.0,
-            "handshakeTargetS": 0.3,
-            "dialTimeoutS": 1.8,
-            "utility": 1.0,
-            "stream": True,
-        }
-    ]
-    settings["limits"]["maxDials"] = 4
-    settings["limits"]["retryAfter"] = False
-    settings["obligations"] = {
-        "askEveryS": 10.0,
-        "coldS": 20.0,
-        "drainGraceS": 0.5,
-        "startCapacity": 0.13,
-        "tipAfterS": 1.0,
-        "tipMultiple": 2.0,
-        "freeResends": 2,
-        "resendRatio": 0.1,
-        "ratioSpanS": 5.0,
-        "onlyDrainingBinds": True,
-    }
-    settings["familyInfo"]["messageAimS"] = [0.1]
-    settings["report"]["names"] = ["waiting", "x0"]
-    return settings
-
-
 def edinburgh_main() -> dict[str, Any]:
     """Return settings like those of edinburgh-main; connections end at the proxy."""
     settings = order_entry()
