Migration: sessions that were asked once take no place in later batches

Cause: each batch took the first part of all sessions that are left. A session whose server hangs within a line can't be moved yet and stays, so that it takes a place in each further batch. The call that asks all sessions came with the end of the process, when nobody waits for a line any more.

Change: the session says that its migration was requested, and a batch is taken from the others; alike for drains and for sessions off an overloaded server, which had the same fault. All sessions are asked 1 s before a shutdown ends, or at half of it; the process then waits for the ends of lines. shutdown_finished says how many are within one.

--- a/tests/golden_proxy.py
+++ b/tests/golden_proxy.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -24,9 +25,10 @@
 
 
 class RecordedProxy:
-    """One proxy, n0, on its host; `log` holds (event, fields)."""
+    """One proxy, n0, on its host; `log` holds (event, fields), `ended_ms` when its process was done."""
 
     def __init__(self, values: dict) -> None:
+        self.ended_ms = math.inf
         self.world = VirtualWorld(1, NETWORK)
         self.log: list[tuple[str, dict]] = []
         self.seat = self.world.proxy(
@@ -40,7 +42,11 @@
 
     def stop(self) -> None:
         """Tells the process to stop, as SIGTERM does."""
-        self.seat.stop(lambda: None)
+        self.seat.stop(self.on_ended)
+
+    def on_ended(self) -> None:
+        """Keeps when the process was done; the connections that it has left would be cut off."""
+        self.ended_ms = self.now()
 
     def now(self) -> float:
         """Returns the virtual time in milliseconds."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 
 import pytest
 
@@ -173,3 +174,71 @@
         if f" {client.name} gets " in line
     )
     assert told.split() == ["UP", "r1", last_line, "(end)"]
+
+
+class StreamingServers:
+    """Sessions at servers that stream lines in two pieces, some of which hang midway.
+
+    Attributes:
+        sound: the clients of the servers that don't hang.
+    """
+
+    PIECE_MS = 300.0
+    LINE_EVERY_MS = 2000.0
+
+    def __init__(self, dial_timeout_ms: float, session_count: int) -> None:
+        self.restart = PlannedRestart("proxy", dial_timeout_ms)
+        self.scene = self.restart.scene
+        self.sound: list[End] = []
+        self._streams: list[tuple[float, End]] = []
+        for number in range(session_count):
+            client = self.restart.open()
+            server = self.scene.server()
+            server.send("UP r\r\n")
+            if server.name.startswith("a-"):
+                server.send("half a li")
+            else:
+                self.sound.append(client)
+                self._streams.append((number * 47.0 % self.LINE_EVERY_MS, server))
+
+    def run(self, wait_ms: float, step_ms: float = 10.0) -> None:
+        """Lets time pass while the servers that don't hang send their lines."""
+        now = self.scene.proxy.now
+        until_ms = now() + wait_ms
+        while now() < until_ms:
+            begin_ms = now()
+            self.scene.proxy.run(step_ms)
+            for offset_ms, server in self._streams:
+                before_ms = (begin_ms - offset_ms) % self.LINE_EVERY_MS
+                if before_ms < self.PIECE_MS <= before_ms + step_ms:
+                    server.send("34\r\n")
+                elif before_ms + step_ms >= self.LINE_EVERY_MS:
+                    server.send("row 12")
+
+    def moved_ms(self, client: End) -> float:
+        """Returns when the client was told to come again, or infinity."""
+        told = [
+            float(line.split()[0])
+            for line in self.scene.lines
+            if f" {client.name} gets MOVE" in line
+        ]
+        return told[0] - self.restart.stopped_ms if told else math.inf
+
+
+@pytest.mark.parametrize("dial_timeout_ms", [300.0, 2000.0, 4800.0])
+def test_servers_that_hang_within_a_line_keep_no_other_session_from_moving(
+    dial_timeout_ms: float,
+) -> None:
+    # Guards against batches that are filled by sessions which can't be moved, and
+    # against sessions that are asked so late that their server's line is cut off.
+    servers = StreamingServers(dial_timeout_ms, 60)
+    servers.run(2000.0)
+    restart = servers.restart
+    restart.stopped_ms = servers.scene.proxy.now()
+    servers.scene.proxy.stop()
+    servers.run(kill_after_ms(dial_timeout_ms))
+    assert 20 < len(servers.sound) < 55
+    ended_ms = servers.scene.proxy.ended_ms - restart.stopped_ms
+    assert ended_ms < kill_after_ms(dial_timeout_ms)
+    moved_ms = [servers.moved_ms(client) for client in servers.sound]
+    assert [moved for moved in moved_ms if moved > ended_ms] == []
--- a/wheathill/config/limits.py
+++ b/wheathill/config/limits.py
@@ -137,6 +137,9 @@
     max_shutdown_wait_ms: float = 3000.0
     # Time allowed for these answers in addition.
     shutdown_margin_ms: float = 400.0
+    # Time for servers to complete the lines that they have begun, of half of the
+    # shutdown at most. All sessions are asked to reconnect before it.
+    shutdown_line_ms: float = 1000.0
     # Maximum shutdown time of a proxy in passthrough mode.
     passthrough_shutdown_ms: float = 30_000.0
     # How long to wait for peers to close once all data is sent, and how often to check.
--- a/wheathill/model.py
+++ b/wheathill/model.py
@@ -259,6 +259,8 @@
         found_full_server: whether a healthy candidate had no capacity for it.
         probes_requested: how many probes were requested for it.
         accepted_ms: when a server accepted it, or None.
+        migration_requested: whether its client was to be asked to reconnect. That may
+            take effect only once its server has completed a line.
         has_ended: whether its final answer was given or its client has left.
     """
 
@@ -282,6 +284,7 @@
     found_full_server: bool = False
     probes_requested: int = 0
     accepted_ms: float | None = None
+    migration_requested: bool = False
     has_ended: bool = False
 
 
--- a/wheathill/net/graceful_shutdown.py
+++ b/wheathill/net/graceful_shutdown.py
@@ -46,14 +46,18 @@
 
     Attributes:
         started_ms: when the shutdown began, or None.
+        accept_until_ms: until when new clients are accepted, whoever is here.
         answer_deadline_ms: when the sessions that are not up get their answer.
+        migration_deadline_ms: when all sessions that are up are asked to reconnect.
         deadline_ms: when the remaining sessions are ended.
     """
 
     def __init__(self, proxy: StoppingProxy) -> None:
         self._proxy = proxy
         self.started_ms: float | None = None
+        self.accept_until_ms = 0.0
         self.answer_deadline_ms = 0.0
+        self.migration_deadline_ms = 0.0
         self.deadline_ms = 0.0
 
     def begin(self, on_stopped: Callable[[], None]) -> None:
@@ -104,6 +108,14 @@
             if self._proxy.node.migrates_at_shutdown
             else started_ms + limits.passthrough_shutdown_ms
         )
+        self.accept_until_ms = min(
+            started_ms + limits.shutdown_accept_ms,
+            self.deadline_ms - limits.sweep_interval_ms,
+        )
+        # MOVE may not stand within a server's line, so servers are left time to
+        # complete those that they have begun.
+        line_time_ms = min(limits.shutdown_line_ms, (self.deadline_ms - started_ms) / 2)
+        self.migration_deadline_ms = self.deadline_ms - line_time_ms
 
     def _log_start(self, started_ms: float) -> None:
         clients = self._proxy.clients.values()
@@ -129,36 +141,47 @@
                 client.attempt.limit_time(latest_ms)
 
     def _first_check_delay_ms(self, started_ms: float) -> float:
-        """Return how long new clients are accepted, whoever is here."""
+        """Return when sessions are asked to reconnect for the second time."""
         limits = self._proxy.limits
         if self._proxy.handed_over:
             return limits.sweep_interval_ms
-        longest_ms = self.deadline_ms - started_ms - limits.sweep_interval_ms
-        return min(limits.shutdown_accept_ms, longest_ms)
+        until_migrated_ms = self.migration_deadline_ms - started_ms
+        return min(limits.shutdown_accept_ms, until_migrated_ms / 2)
 
     def _check(self, on_stopped: Callable[[], None]) -> None:
         """End the shutdown once no session is left, or at its deadline."""
         proxy = self._proxy
         now_ms = proxy.now()
         is_deadline_over = now_ms >= self.deadline_ms
+        are_all_to_migrate = now_ms >= self.migration_deadline_ms
         if is_deadline_over or not proxy.handed_over:
-            proxy.balancer.on_stop(now_ms, is_deadline_over)
+            proxy.balancer.on_stop(now_ms, are_all_to_migrate)
         if is_deadline_over:
             proxy.answer_pending_sessions()
-        if is_deadline_over or not self._may_have_sessions():
+        if is_deadline_over or self._may_end(now_ms):
             proxy.log_event(
                 LogEvent.SHUTDOWN_FINISHED,
                 sessions=len(proxy.clients),
+                within_line=sum(
+                    client.is_migrating for client in proxy.clients.values()
+                ),
                 since_start=proxy.metrics.log_fields(),
             )
             linger_until_ms = now_ms + proxy.limits.shutdown_linger_ms
             self._wait_until_sent(on_stopped, linger_until_ms)
             return
-        proxy.clock.after(
-            min(proxy.limits.sweep_interval_ms, self.deadline_ms - now_ms),
-            self._check,
-            on_stopped,
-        )
+        proxy.clock.at(self._next_check_ms(now_ms), self._check, on_stopped)
+
+    def _next_check_ms(self, now_ms: float) -> float:
+        next_sweep_ms = now_ms + self._proxy.limits.sweep_interval_ms
+        if now_ms < self.migration_deadline_ms:
+            return min(next_sweep_ms, self.migration_deadline_ms)
+        return min(next_sweep_ms, self.deadline_ms)
+
+    def _may_end(self, now_ms: float) -> bool:
+        """Return whether new clients were accepted long enough, and none is left."""
+        is_accepting = not self._proxy.handed_over and now_ms < self.accept_until_ms
+        return not is_accepting and not self._may_have_sessions()
 
     def _may_have_sessions(self) -> bool:
         """Return whether a session is here, or its OPEN line may wait to be read.
@@ -191,15 +214,22 @@
     ) -> None:
         """End once the last answers and MOVE lines have been sent.
 
-        Closing with bytes unread or unsent would cut them off. It does not wait beyond
-        the time after which this process may be killed.
+        Closing with bytes unread or unsent would cut them off, and MOVE may still wait
+        for the end of a line. It does not wait beyond the time after which this process
+        may be killed.
         """
         proxy = self._proxy
         now_ms = proxy.now()
         closing = list(proxy.transport.closing_connections)
         latest_ms = self.deadline_ms + proxy.limits.shutdown_linger_ms
         is_unsent = any(connection.unsent_bytes for connection in closing)
-        if closing and (now_ms < linger_until_ms or now_ms < latest_ms and is_unsent):
+        is_migrating = any(client.is_migrating for client in proxy.clients.values())
+        if (
+            closing
+            and now_ms < linger_until_ms
+            or (is_unsent or is_migrating)
+            and now_ms < latest_ms
+        ):
             proxy.clock.after(
                 proxy.limits.shutdown_poll_interval_ms,
                 self._wait_until_sent,
--- a/wheathill/policy/migration.py
+++ b/wheathill/policy/migration.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from itertools import chain
 
 from wheathill.model import Phase, Server, Session, SessionEffects
@@ -59,25 +59,31 @@
         self._outlier_detector = outlier_detector
         self._may_probe = may_probe
 
-    def migrate(self, sessions: Sequence[Session], batches: int) -> None:
+    def migrate(self, sessions: Iterable[Session], batches: int) -> None:
         """Migrate one batch of the given sessions, the first of `batches`.
 
         Every migrated session is set up again. Migrating all of them at the same time
-        would overload the dependencies that set-ups share.
+        would overload the dependencies that set-ups share. A single batch is all of
+        them, whether they were requested to migrate before or not.
         """
-        for session in sessions[: math.ceil(len(sessions) / batches)]:
-            self._effects.migrate(session)
+        remaining = list(sessions) if batches == 1 else _not_requested(sessions)
+        for session in remaining[: math.ceil(len(remaining) / batches)]:
+            self._request(session)
 
     def migrate_all(self, *, is_last: bool) -> None:
         """Migrate a batch of all sessions, or all of them in the last call."""
-        sessions = [session for held in self._slot_table.sessions for session in held]
+        sessions = chain.from_iterable(self._slot_table.sessions)
         self.migrate(sessions, 1 if is_last else SHUTDOWN_BATCHES)
 
+    def _request(self, session: Session) -> None:
+        session.migration_requested = True
+        self._effects.migrate(session)
+
     def migrate_off_draining(self, now_ms: float, servers: Iterable[Server]) -> None:
         """Migrate a batch of the sessions of each draining server."""
         for server in [server for server in servers if server.phase is Phase.DRAINING]:
             ticks = int((now_ms - server.leaving_since_ms) / TICK_INTERVAL_MS)
-            self.migrate(list(server.sessions), max(1, DRAIN_TICKS - ticks))
+            self.migrate(server.sessions, max(1, DRAIN_TICKS - ticks))
 
     def on_message_unanswered(
         self, now_ms: float, session: Session, waited_ms: float
@@ -92,13 +98,13 @@
         assert server is not None, "a session that waits for an answer has a server"
         is_second = server.unanswered_session not in (None, session)
         if waited_ms >= MESSAGE_TIMEOUT_MS:
-            self._effects.migrate(session)
+            self._request(session)
         elif is_second and now_ms - server.last_received_ms >= SILENCE_TIMEOUT_MS:
             server.unanswered_probes = MAX_UNANSWERED_PROBES if self._may_probe else 0
             self._effects.log(
                 f"migration: {len(server.sessions)} sessions off an unresponsive server"
             )
-            self.migrate(list(server.sessions), 1)
+            self.migrate(server.sessions, 1)
         server.unanswered_session = session
 
     def shed_overloaded_servers(self, now_ms: float, servers: Iterable[Server]) -> None:
@@ -142,7 +148,7 @@
         # one session each rounded up, all sessions would migrate.
         count = int(len(server.sessions) * share + self._uniform(0.0, 1.0))
         for session in self._in_order_of_migration(server)[:count]:
-            self._effects.migrate(session)
+            self._request(session)
         if count:
             server.next_migration_ms = now_ms + MIGRATION_PAUSE_MS
             self._effects.log(
@@ -151,12 +157,24 @@
             )
 
     def _in_order_of_migration(self, server: Server) -> list[Session]:
-        """Return a server's sessions ordered by slot, which keeps groups together."""
+        """Return the sessions that may migrate off a server.
+
+        They are ordered by slot, which keeps groups together.
+        """
         table = self._slot_table
         return sorted(
-            server.sessions,
+            _not_requested(server.sessions),
             key=lambda session: (
                 table.preferred_servers[session.slot] is server,
                 -table.claim_scores[session.slot],
             ),
         )
+
+
+def _not_requested(sessions: Iterable[Session]) -> list[Session]:
+    """Return the sessions whose migration was not requested yet.
+
+    Those whose server has stopped within a line stay for long, and must not take the
+    place of others in each batch.
+    """
+    return [session for session in sessions if not session.migration_requested]
