Requests: values that are not read are not kept, and long ids are remembered by a digest

Cause: OpenRequest.values held every field of a line for as long as its session lasted, about 75 KB for 700 fields, and the ids of 8,192 ended sessions (and keys of slots in transition) were held at the length that clients gave them. Besides, what a server sent in one read with UP stayed in the attempt's line buffer.

Change: all fields are checked, those that are read are kept; names of over 64 characters are remembered as a digest; the bytes behind UP are passed on and dropped.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -8,7 +8,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 # From the bottom up; the longest name that fits counts, so that a new module of a package is in that package's layer.
 LAYERS = (
-    ("wheathill.log_events", "wheathill.model"),
+    ("wheathill.bounded_name", "wheathill.log_events", "wheathill.model"),
     ("wheathill.policy", "wheathill.config"),
     # State machines, told of what happens: no sockets, no loop.
     (
--- a/wheathill/handover/restore.py
+++ b/wheathill/handover/restore.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from wheathill.bounded_name import bounded_name
 from wheathill.handover.errors import HandoverError
 from wheathill.handover.records import (
     HandoverSnapshot,
@@ -94,7 +95,8 @@
         """Fill a new proxy; this raises no exception."""
         proxy.servers.update(self.servers)
         proxy.addresses.update(self.addresses)
-        proxy.session_ids.update(dict.fromkeys(self.session_ids))
+        # Builds without bounded names send long ones.
+        proxy.session_ids.update(dict.fromkeys(map(bounded_name, self.session_ids)))
         proxy.known_names.update(dict.fromkeys(self.server_names))
         self._apply_endpoint_list(proxy)
         self._apply_slots(proxy)
@@ -223,7 +225,9 @@
     records: Sequence[KeyRouteRecord], servers: Sequence[Server]
 ) -> KeyRoutes:
     return {
-        record.key: KeyRoute(servers[record.server_index], record.since_ms)
+        bounded_name(record.key): KeyRoute(
+            servers[record.server_index], record.since_ms
+        )
         for record in records
     }
 
--- a/wheathill/net/open_request.py
+++ b/wheathill/net/open_request.py
@@ -2,6 +2,7 @@
 
 import re
 
+from wheathill.bounded_name import bounded_name
 from wheathill.net.errors import MalformedLineError
 from wheathill.net.line_buffer import CRLF
 
@@ -10,6 +11,9 @@
 # The only value that is changed before the line is sent to a server.
 TIMEOUT_PREFIX = b"d="
 WORD_COUNT = 4  # OPEN, id, key, values
+# The names of the values that are read here. Others are only passed on, and a line may
+# hold a thousand of them.
+USED_VALUES = frozenset(("c", "t", "d", "g", "h", "r", "again", "mid", "at"))
 
 
 class OpenRequest:
@@ -25,7 +29,7 @@
         line: the line as received, without its line end.
         id: the id of the session.
         key: the key of the session.
-        values: name -> value.
+        values: name -> value, of the names in `USED_VALUES`.
     """
 
     def __init__(self, line: bytes) -> None:
@@ -49,6 +53,11 @@
                 self._timeout_end = start + len(pair)
             start += len(pair) + 1
 
+    @property
+    def remembered_id(self) -> str:
+        """The id in the form in which it is remembered after the session's end."""
+        return bounded_name(self.id)
+
     def encode(self, remaining_ms: float) -> tuple[bytes, ...]:
         """Return the line for a server, in pieces to be written together.
 
@@ -85,7 +94,6 @@
     pairs = [pair.partition("=") for pair in text.split(",")]
     if not all(name and equals for name, equals, _ in pairs):
         raise MalformedLineError("OPEN values are not of the form name=value")
-    values = {name: value for name, _, value in pairs}
-    if len(values) < len(pairs):
+    if len({name for name, _, _ in pairs}) < len(pairs):
         raise MalformedLineError("OPEN values have a duplicate name")
-    return values
+    return {name: value for name, _, value in pairs if name in USED_VALUES}
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -44,7 +44,7 @@
         awaiting_answer: clients with a line that waits for an answer, longest first.
         silent_clients: clients that have sent no line yet -> when they connected,
             oldest first.
-        session_ids: id -> its session while it is open, oldest first. An OrderedDict,
+        session_ids: remembered id -> its session while it is open, oldest first. An OrderedDict,
             as finding the oldest key of a dict becomes slower with every deletion.
         probe_connections: server -> connection for probes, the longest unused first.
         list_version: the version of the endpoint list that was applied.
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -148,8 +148,7 @@
             self.timer.cancel()
             self.is_up = True
             self.owner.on_attempt_accepted(self, line + CRLF)
-            if self.lines.unconsumed:
-                self.forward(self.lines.unconsumed)
+            self.forward_rest()
             return
         self.owner.on_load_report(self.server, rest)
         if word not in OUTCOMES_BEFORE_UP:
@@ -175,6 +174,12 @@
                 outcome,
             )
 
+    def forward_rest(self):
+        """Send the client what was received together with the UP line."""
+        rest, self.lines.unconsumed = self.lines.unconsumed, b""
+        if rest:
+            self.forward(rest)
+
     def forward(self, data):
         """Send bytes to the client, and read the lines that they complete."""
         self.client.connection.send(data)
--- a/wheathill/net/session_handling.py
+++ b/wheathill/net/session_handling.py
@@ -230,13 +230,14 @@
         servers answer its second session with ERR. Packets of one session that return
         to this proxy are the exception.
         """
+        session_id = request.remembered_id
         if (
-            request.id in self.session_ids
+            session_id in self.session_ids
             and not session.mid_flow
             and "at" not in request.values
         ):
             raise ProtocolError("session id was used before")
-        self.session_ids[request.id] = session
+        self.session_ids[session_id] = session
         # Open sessions stay, and may be far more than the limit. Checking two ids for
         # each new one keeps those that are over fewer than the open ones and the limit
         # together. Checking as many as exceed the limit took seconds for each client.
@@ -354,7 +355,7 @@
         client.session = None
         # No longer needed: a generator that refers to its session forms a cycle.
         session.candidates = None
-        self.session_ids[client.open_request.id] = None
+        self.session_ids[client.open_request.remembered_id] = None
         self.metrics.count(reason)
         now = self.now()
         lasted_ms = (
@@ -528,7 +529,7 @@
         client.is_up = attempt.is_up = attempt.is_sent = True
         attempt.partial_line = partial_line
         self.clients[session] = client
-        self.session_ids[request.id] = session
+        self.session_ids[request.remembered_id] = session
         self.metrics.add_listeners([session.listener.name])
         self.balancer.on_session_handed_over(self.now(), session, attempt.server)
         for machine, handle in zip((client, attempt), handles):
--- a/wheathill/policy/slot_table.py
+++ b/wheathill/policy/slot_table.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
+from wheathill.bounded_name import bounded_name
 from wheathill.model import Server, Session
 from wheathill.policy.settings import SlotTableSettings
 from wheathill.policy.slot_claims import claim_slots, hash_draws, slot_of_key
@@ -73,7 +74,8 @@
             server.
         active_servers: servers with sessions, pruned at each tick; there are far fewer
             of them than slots.
-        moved_keys: new keys of slots in transition, oldest first.
+        moved_keys: new keys of slots in transition, oldest first; like those of
+            `exception_keys`, in the form of `bounded_name`.
         exception_keys: keys whose server is in neither table, oldest first.
     """
 
@@ -119,15 +121,17 @@
         server = self.new[slot]
         if server is None:
             return self.current[slot]
-        self.moved_keys.pop(key, None)
-        self.moved_keys[key] = KeyRoute(server, now_ms)
+        tracked_key = bounded_name(key)
+        self.moved_keys.pop(tracked_key, None)
+        self.moved_keys[tracked_key] = KeyRoute(server, now_ms)
         if len(self.moved_keys) > MAX_TRACKED_KEYS:
             del self.moved_keys[next(iter(self.moved_keys))]
         return server
 
     def find_mid_flow(self, key: str, slot: int) -> Server | None:
         """Return the server that should have a mid-flow connection, or None."""
-        route = self.exception_keys.get(key) or self.moved_keys.get(key)
+        tracked_key = bounded_name(key)
+        route = self.exception_keys.get(tracked_key) or self.moved_keys.get(tracked_key)
         return route.server if route else self.current[slot]
 
     def add_session(self, now_ms: float, session: Session) -> None:
@@ -143,7 +147,7 @@
     def remove_session(self, session: Session) -> None:
         """Remove a session that has ended."""
         self.sessions[session.slot].pop(session, None)
-        self.exception_keys.pop(session.key, None)
+        self.exception_keys.pop(bounded_name(session.key), None)
         if session.group is not None:
             assert session.server is not None, "an accepted session has a server"
             # Counter subtraction keeps positive counts only.
@@ -163,8 +167,9 @@
     def _add_exception(self, now_ms: float, session: Session) -> None:
         if len(self.exception_keys) < MAX_TRACKED_KEYS:
             assert session.server is not None, "an accepted session has a server"
-            self.exception_keys.pop(session.key, None)
-            self.exception_keys[session.key] = KeyRoute(session.server, now_ms)
+            tracked_key = bounded_name(session.key)
+            self.exception_keys.pop(tracked_key, None)
+            self.exception_keys[tracked_key] = KeyRoute(session.server, now_ms)
 
     # Changes of the endpoint list
 
@@ -370,7 +375,7 @@
             for session in old:
                 self._add_exception(now_ms, session)
             for session in self.sessions[slot]:
-                self.moved_keys.pop(session.key, None)
+                self.moved_keys.pop(bounded_name(session.key), None)
             self.current[slot] = self.new[slot]
             self._end_transition(slot)
 
