Floods: protocol errors of all peers are logged at a limited rate, lines are scanned at once

Cause: each LOAD line that holds no number took a log line, some 8,000 for one read, and so did each unreadable entry of a list; a server's lines were read one by one, 7 to 13 ms a read.

Change: one limiter for clients, servers and discovery each, with the count; a read's lines are scanned together, and not at all where none of the three words stands in it.

--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -14,6 +14,7 @@
 from wheathill.model import Phase, UpdateKind
 from wheathill.net.graceful_shutdown import GracefulShutdown
 from wheathill.net.metrics import ProxyMetrics
+from wheathill.net.protocol_error_log import ProtocolErrorLog
 from wheathill.net.session_handling import SessionHandlingMixin
 from wheathill.net.update_handling import UpdateHandlingMixin
 from wheathill.policy.balancer import Balancer
@@ -61,8 +62,9 @@
         consecutive_watch_failures: watches in a row that were not answered.
         ready: whether the proxy accepts sessions.
         shutdown: ends this process gracefully, once it was told to stop.
-        error_window_start_ms: since when protocol errors are counted for the log.
-        errors_logged: protocol errors that were logged since then.
+        client_errors: what clients send against the protocol.
+        server_errors: what servers send against the protocol.
+        list_errors: what discovery sends against the protocol.
         balancer: takes the decisions.
     """
 
@@ -100,7 +102,9 @@
         self.consecutive_watch_failures = 0
         self.ready = False
         self.shutdown = GracefulShutdown(self)
-        self.error_window_start_ms = self.errors_logged = 0
+        self.client_errors = ProtocolErrorLog(log, clock.now)
+        self.server_errors = ProtocolErrorLog(log, clock.now)
+        self.list_errors = ProtocolErrorLog(log, clock.now)
         self.balancer = make_balancer(self, random.Random(node.seed), node.policy)
 
     def now(self):
--- a/wheathill/net/server.py
+++ b/wheathill/net/server.py
@@ -4,6 +4,7 @@
 from wheathill.net.errors import ProtocolError
 from wheathill.net.line_buffer import CRLF
 from wheathill.net.protocol_machine import ProtocolMachine
+from wheathill.net.server_lines import read_lines, split_partial_line
 
 # What the first word of a server's line says, before UP and after it.
 OUTCOMES_BEFORE_UP = {
@@ -184,25 +185,24 @@
         """Send bytes to the client, and read the lines that they complete."""
         self.client.connection.send(data)
         self.owner.on_server_data(self.server)
-        *lines, self.partial_line = (self.partial_line + data).split(CRLF)
-        for line in lines:
-            self.inspect_line(line)
+        lines, self.partial_line = split_partial_line(self.partial_line + data)
+        if lines:
+            self.react_to_lines(read_lines(lines))
         if len(self.partial_line) > self.limits.max_line_bytes:
             # Too long for a line of the protocol: only whether it has ended matters.
             self.partial_line = self.partial_line[-1:]
         if self.client.is_migrating:
             self.owner.migrate_client(self.client)
 
-    def inspect_line(self, line):
-        """React to a line that was forwarded to the client."""
-        word, _, rest = line.partition(b" ")
-        if word == b"LOAD":
-            self.owner.on_load_declared(self.client, rest)
-            return
-        self.client.on_server_line()
-        if word in OUTCOMES_AFTER_UP:
-            self.outcome = OUTCOMES_AFTER_UP[word]
-            self.owner.on_load_report(self.server, rest)
+    def react_to_lines(self, lines):
+        """React to complete lines that were forwarded to the client."""
+        if lines.declared_load is not None:
+            self.owner.on_load_declared(self.client, lines.declared_load)
+        if lines.has_answer:
+            self.client.on_server_line()
+        if lines.last_word is not None:
+            self.outcome = OUTCOMES_AFTER_UP[lines.last_word]
+            self.owner.on_load_report(self.server, lines.report)
 
     @property
     def between_lines(self):
--- a/wheathill/net/session_handling.py
+++ b/wheathill/net/session_handling.py
@@ -321,15 +321,7 @@
         """Answer a client that breaks the protocol with ERR."""
         self.silent_clients.pop(client, None)
         self.metrics.count("bad")
-        # Such clients may arrive by the hundred at full speed: most are only counted.
-        now = self.now()
-        if now - self.error_window_start_ms >= self.limits.protocol_error_window_ms:
-            self.error_window_start_ms, self.errors_logged = now, 0
-        self.errors_logged += 1
-        if self.errors_logged <= self.limits.max_protocol_errors_logged:
-            self.log_event(
-                LogEvent.PROTOCOL_ERROR, what=reason, so_far=self.metrics.counts["bad"]
-            )
+        self.client_errors.add(self.limits, reason)
         client.lines.unconsumed = b""
         self.send_final_answer(client, b"ERR")
 
@@ -403,8 +395,8 @@
         try:
             load = float(text)
         except ValueError:
-            return self.log_event(
-                LogEvent.PROTOCOL_ERROR, what="value of a LOAD line is not a number"
+            return self.server_errors.add(
+                self.limits, "value of a LOAD line is not a number"
             )
         if client.session is not None:
             self.balancer.on_load_declared(self.now(), client.session, load)
@@ -642,9 +634,7 @@
 
     def on_unexpected_answer(self, attempt, line):
         """Log a server's first line that is not in the protocol."""
-        self.log_event(
-            LogEvent.PROTOCOL_ERROR, server=attempt.server.name, what=repr(line[:80])
-        )
+        self.server_errors.add(self.limits, repr(line[:80]), server=attempt.server.name)
 
     def on_load_report(self, server, text):
         """Report the load that a server states with its answer."""
--- a/wheathill/net/update_handling.py
+++ b/wheathill/net/update_handling.py
@@ -246,8 +246,8 @@
             kind: of the update; None if the object states it.
         """
         if not isinstance(update, dict) or not isinstance(update.get("hosts"), list):
-            return self.log_event(
-                LogEvent.PROTOCOL_ERROR, what="endpoint list has no array of hosts"
+            return self.list_errors.add(
+                self.limits, "endpoint list has no array of hosts"
             )
         kind = kind or (
             UpdateKind.SNAPSHOT if update.get("whole") else UpdateKind.DELTA
@@ -258,9 +258,8 @@
             try:
                 entries.append(self.parse_entry(host, version, readdressed))
             except (AttributeError, KeyError, TypeError, ValueError) as error:
-                self.log_event(
-                    LogEvent.PROTOCOL_ERROR,
-                    what=f"endpoint list has an invalid entry: {error!r}",
+                self.list_errors.add(
+                    self.limits, f"endpoint list has an invalid entry: {error!r}"
                 )
                 unreadable_count += 1
                 entries += self.fallback_entries(host)
