Connections: what a client sent before it reset its connection is not passed on

Cause: asyncio doesn't watch a connection that isn't read from, so that a reset is noticed only when the server takes lines again; the kernel then gives what it had received before it.

Change: the client's connection is checked for a reset while it isn't read from, before the first read after that and at each read that fills the buffer; a reset ends the session.

--- a/tests/deployed.py
+++ b/tests/deployed.py
@@ -112,6 +112,17 @@
         """Sends nothing back."""
         self.received += len(data)
 
+    def run(self, call: Callable[[], None]) -> None:
+        """Makes a call in the thread of the stand-ins, and waits for it."""
+        done = threading.Event()
+
+        def call_and_set() -> None:
+            call()
+            done.set()
+
+        self._loop.call_soon_threadsafe(call_and_set)
+        assert done.wait(START_S)
+
     def endpoints(self) -> dict[str, Any]:
         """Returns the whole list of servers, in discovery's form."""
         hosts = [
--- a/wheathill/config/limits.py
+++ b/wheathill/config/limits.py
@@ -96,6 +96,8 @@
 
     # How long a closing connection waits for the peer to close its side.
     linger_ms: float = 1000.0
+    # Interval of checks whether a client has reset a connection that is not read from.
+    reset_check_interval_ms: float = 125.0
     # Idle time before TCP sends keepalive probes.
     keepalive_idle_ms: float = 30_000.0
     # Time reserved before a session's deadline for sending the answer.
--- a/wheathill/lab/scale/shape.py
+++ b/wheathill/lab/scale/shape.py
@@ -165,6 +165,10 @@
     def is_connect_postponed(self):
         return self.machine.is_connect_postponed
 
+    @property
+    def is_input_void_after_reset(self):
+        return self.machine.is_input_void_after_reset
+
     def attempt(self, again):
         shape = self.shape
         if self.over:
--- a/wheathill/lab/worlds/tap.py
+++ b/wheathill/lab/worlds/tap.py
@@ -20,6 +20,7 @@
 
 class Tap:
     is_connect_postponed = False  # a connection of a stand-in is begun at once
+    is_input_void_after_reset = False
     came = None  # when the first byte left its sender, where the way here may hold it for long
 
     def __init__(self, host, machine, wire=None):
--- a/wheathill/net/client.py
+++ b/wheathill/net/client.py
@@ -25,6 +25,10 @@
         unanswered_since_ms: when the oldest line without an answer went to the server.
     """
 
+    # A client that has reset its connection is gone: what it had sent must not take
+    # effect at a server afterwards.
+    is_input_void_after_reset = True
+
     def __init__(self, connection, owner, limits, clock):
         super().__init__(owner, limits, clock)
         self.connection = connection
--- a/wheathill/net/connection.py
+++ b/wheathill/net/connection.py
@@ -17,6 +17,7 @@
     kernel_unsent_bytes,
     last_receive_ago_ms,
     reset_on_close,
+    was_reset,
 )
 
 if TYPE_CHECKING:
@@ -57,6 +58,8 @@
         self.over = False
         self.holds_descriptor = False
         self._is_adopted = False
+        self._is_paused = False
+        self._reset_check: asyncio.TimerHandle | None = None
         self.refused = False
 
     # Establishment
@@ -141,7 +144,10 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Pass received bytes to the machine."""
         if not self.is_closing:
-            self.guard(self.machine.received, self.transport.buffer[:nbytes])
+            # A full buffer means that more may be unread, and for long.
+            is_more_unread = nbytes == len(self.transport.buffer)
+            if not (is_more_unread and self._end_if_reset()):
+                self.guard(self.machine.received, self.transport.buffer[:nbytes])
             return
         # After the machine has closed, keep reading so that unread bytes do not reset
         # the connection and lose the last line sent, but only up to a limit.
@@ -175,6 +181,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the machine, unless it has closed the connection, and release it."""
+        self._cancel_reset_check()
         self.transport.closing_connections.pop(self, None)
         self._set_holds_descriptor(False)
         self._report_lost(error is not None)
@@ -277,10 +284,48 @@
     def set_paused(self, on: bool) -> None:
         """Pause or resume reading."""
         if self.open and not self.asyncio_transport.is_closing():
+            self._is_paused = on
             if on:
                 self.asyncio_transport.pause_reading()
+                self._schedule_reset_check()
             else:
                 self.asyncio_transport.resume_reading()
+                if self.machine.is_input_void_after_reset:
+                    # Before the next read.
+                    self.transport.loop.call_soon(self._end_if_reset)
+
+    # Resets, which asyncio reports only behind all bytes that were received before, and
+    # not at all while reading is paused
+
+    def _schedule_reset_check(self) -> None:
+        if self.machine.is_input_void_after_reset and self._reset_check is None:
+            self._reset_check = self.transport.loop.call_later(
+                self.transport.limits.reset_check_interval_ms / 1000,
+                self._check_reset_while_paused,
+            )
+
+    def _check_reset_while_paused(self) -> None:
+        self._reset_check = None
+        if self._is_paused and self.open and not self._end_if_reset():
+            self._schedule_reset_check()
+
+    def _cancel_reset_check(self) -> None:
+        if self._reset_check is not None:
+            self._reset_check.cancel()
+            self._reset_check = None
+
+    def _end_if_reset(self) -> bool:
+        """Drop what is unread if the peer has reset the connection; return whether."""
+        if (
+            not self.machine.is_input_void_after_reset
+            or not self.open
+            or self.asyncio_transport.is_closing()
+            or not was_reset(self._socket)
+        ):
+            return False
+        self._report_lost(True)
+        self.asyncio_transport.abort()
+        return True
 
     def duplicate(self) -> int:
         """Return a duplicate descriptor, to be passed to another process.
@@ -346,6 +391,7 @@
         if self.over:
             return
         self.over = True
+        self._cancel_reset_check()
         if self.asyncio_transport is None:
             if self._task:
                 self._task.cancel()
--- a/wheathill/net/interfaces.py
+++ b/wheathill/net/interfaces.py
@@ -54,9 +54,12 @@
 
     Attributes:
         connection: the connection.
+        is_input_void_after_reset: whether bytes that were not read when the peer reset
+            the connection are dropped.
     """
 
     connection: Any
+    is_input_void_after_reset: bool
 
     @property
     def is_connect_postponed(self) -> bool:
--- a/wheathill/net/protocol_machine.py
+++ b/wheathill/net/protocol_machine.py
@@ -34,8 +34,12 @@
         lines: buffer of received bytes that were not consumed yet.
         connection: the connection, once there is one.
         timer: the pending timer, or `NullTimer`.
+        is_input_void_after_reset: whether bytes that were not read when the peer reset
+            the connection are dropped.
     """
 
+    is_input_void_after_reset = False
+
     def __init__(self, owner: object, limits: ProxyLimits, clock: Clock) -> None:
         self.owner: Any = owner  # its type depends on the subclass
         self.limits = limits
@@ -99,6 +103,8 @@
 class NullMachine:
     """Null object for the machine of a connection that has released its own."""
 
+    is_input_void_after_reset = False
+
     @staticmethod
     def fault() -> None:
         """Do nothing."""
--- a/wheathill/net/socket_options.py
+++ b/wheathill/net/socket_options.py
@@ -9,6 +9,8 @@
 # Linux's struct tcp_info: offset of tcpi_last_data_recv, an unsigned int, in ms.
 TCP_INFO_LAST_DATA_RECV = 52
 TCP_INFO_SIZE = 56
+# Linux's tcpi_state, the first byte of struct tcp_info, of a connection that is over.
+TCP_STATE_CLOSED = 7
 KEEP_ALIVE_PROBES = 3  # unanswered probes before the connection is closed
 # Linux's struct ucred: process id, user id, group id of a Unix socket's peer.
 PEER_CREDENTIALS = struct.Struct("3i")
@@ -73,6 +75,18 @@
         return 0.0
 
 
+def was_reset(sock: socket.socket) -> bool:
+    """Return whether the peer has reset the connection.
+
+    The kernel still gives the bytes that it received before, and reports the reset
+    behind them.
+    """
+    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    return state == TCP_STATE_CLOSED and bool(
+        sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    )
+
+
 def kernel_unsent_bytes(sock: socket.socket) -> int:
     """Return the bytes in the kernel's send queue that the peer has not acknowledged.
 
