Upgrades: the processes tell each other the ids of sessions that they take

Cause: ids go over with the state. Clients that the old process has accepted by then may send their line later, and neither those ids nor those that the new process takes were told.

Evidence: the program as the deploy file starts it, a listener whose sessions run once only: each id that came again at the other process was sent to a server twice, in both directions and after a rollback.

Change: each process tells the other of an id before it dials for it. The old one says in its state that it understands that (a field that earlier builds ignore), the new one by its first message; processes of earlier builds are sent nothing new.

--- a/tests/deployed.py
+++ b/tests/deployed.py
@@ -293,6 +293,11 @@
             sock.sendall(f"{request} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
             return b"".join(iter(lambda: sock.recv(65536), b"")).decode()
 
+    def pending(self) -> int:
+        """Returns how many sessions the last process holds."""
+        answer = self.call("GET /status/metrics")
+        return json.loads(answer.partition("\r\n\r\n")[2])["pending"]
+
     def log(self) -> str:
         """Returns what all processes have logged."""
         paths = sorted(self._path.glob("log-*"))
@@ -326,6 +331,14 @@
         return client
 
 
+def wait_until(condition: Callable[[], bool], longest_s: float = 5.0) -> bool:
+    """Waits until a condition holds; returns whether it does."""
+    until = time.monotonic() + longest_s
+    while not condition() and time.monotonic() < until:
+        time.sleep(0.02)
+    return condition()
+
+
 def read_line(client: socket.socket) -> bytes:
     """Returns the next line that a client gets, or what came before its connection ended."""
     line = b""
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from deployed import DeployedProxy, read_line, reset
+from deployed import DeployedProxy, read_line, reset, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -82,11 +82,11 @@
     sent, arrived = fill(client), servers.arrived()
     assert sent > arrived + 10 * len(CHUNK)
     reset(client)
-    time.sleep(SETTLED_S)
+    is_noticed = wait_until(lambda: proxy.pending() == 0)
     servers.go_on()
-    time.sleep(SETTLED_S)
+    assert wait_until(lambda: len(proxy.stand_ins.connections) == 0)
     assert proxy.stand_ins.received <= arrived
-    assert len(proxy.stand_ins.connections) == 0
+    assert is_noticed
 
 
 def test_lines_that_pile_up_before_a_reset_are_not_sent_on(
@@ -99,9 +99,8 @@
     assert fill(client) > 10 * len(CHUNK)
     reset(client)
     proxy.signal(signal.SIGCONT)
-    time.sleep(SETTLED_S)
+    assert wait_until(lambda: len(proxy.stand_ins.connections) == 0)
     assert proxy.stand_ins.received <= len(CHUNK)
-    assert len(proxy.stand_ins.connections) == 0
 
 
 def test_all_lines_before_an_end_of_stream_are_sent_on(proxy: DeployedProxy) -> None:
@@ -112,10 +111,7 @@
     client.shutdown(socket.SHUT_WR)
     time.sleep(SETTLED_S)
     servers.go_on()
-    until = time.monotonic() + 5.0
-    while proxy.stand_ins.received < sent and time.monotonic() < until:
-        time.sleep(0.02)
-    assert proxy.stand_ins.received == sent
+    assert wait_until(lambda: proxy.stand_ins.received == sent)
 
 
 @pytest.mark.parametrize("leave", [socket.socket.close, reset], ids=["close", "reset"])
--- a/tests/test_golden_handover.py
+++ b/tests/test_golden_handover.py
@@ -109,13 +109,20 @@
     send = set_paused = send_eof = close_gracefully = ignore
 
 
+# Added to the state since that commit, whose processes ignore it.
+SHARES_IDS = b',"shares_ids":true'
+
+
 class UnixConnection:
-    """One to another process: keeps what is sent."""
+    """One to another process: keeps what is sent, without `SHARES_IDS`, which must stand where it belongs."""
 
     def __init__(self, carrier):
         self.transport, self.over, self.sent = carrier, False, []
 
     def send(self, data, handles=()):
+        if data.startswith(b'{"rest":'):
+            assert data.endswith(SHARES_IDS + b"}}\n")
+            data = data.replace(SHARES_IDS, b"")
         if not self.over:
             self.sent.append((data, list(handles)))
 
@@ -665,6 +672,50 @@
     )
 
 
+def sent_ids(connection):
+    return [data for data, _ in connection.sent if data.startswith(b'{"used"')]
+
+
+def test_a_new_process_shares_ids_only_with_an_old_one_that_understands_them():
+    # Guards against a message that a process from before would end the upgrade for.
+    for shares in (False, True):
+        new = Process(beside=True)
+        for fields in state_messages(recorded()):
+            if shares and "rest" in fields:
+                fields["rest"]["shares_ids"] = True
+            new.receiver.deliver(message(**fields))
+        new.receiver.deliver(message(told=True))
+        new.proxy.remember_session_ids(["id 1"], forwarded_by=None)
+        expected = [b'{"used":[]}\n', b'{"used":["id 1"]}\n'] if shares else []
+        assert sent_ids(new.receiver) == expected
+        assert not new.receiver.over
+
+
+def test_an_old_process_shares_ids_once_the_new_one_has_said_that_it_understands_them():
+    # Guards against the same, and against ids that are taken before that and never told.
+    old = old_process()
+    sender = old.asked_for_state()
+    sender.deliver(message(hello=[1, "n0"]))
+    old.proxy.remember_session_ids(["id 1"], forwarded_by=None)
+    sender.deliver(message(took=True))
+    old.proxy.remember_session_ids(["id 2"], forwarded_by=None)
+    assert sent_ids(sender) == []
+    sender.deliver(message(used=["id 3"]))
+    old.proxy.remember_session_ids(["id 4"], forwarded_by=None)
+    assert sent_ids(sender) == [b'{"used":["id 1","id 2"]}\n', b'{"used":["id 4"]}\n']
+    assert "id 3" in old.proxy.session_ids
+
+
+@pytest.mark.parametrize("value", [None, 1, "id", [1], [None], ["id"] * 1001])
+def test_ids_that_are_none_end_the_handover(value):
+    old = old_process()
+    sender = old.asked_for_state()
+    sender.deliver(message(hello=[1, "n0"]))
+    sender.deliver(message(took=True))
+    sender.deliver(message(used=value))
+    assert sender.over
+
+
 if __name__ == "__main__":
     for file_name, content in files().items():
         (pathlib.Path(sys.argv[1]) / file_name).write_bytes(content)
--- a/wheathill/handover/coordinator.py
+++ b/wheathill/handover/coordinator.py
@@ -1,6 +1,7 @@
 """Coordinates the upgrades of one process: taking over, and being taken over from."""
 
 import math
+from collections.abc import Iterator, Sequence
 
 from wheathill.handover.interfaces import (
     Clock,
@@ -180,6 +181,20 @@
         self, server_name: str, is_in_maintenance: bool, source: HandoverProtocol | None
     ) -> None:
         """Send a maintenance change to all processes of this proxy but its source."""
+        for protocol in self._other_processes(source):
+            protocol.send_maintenance(server_name, is_in_maintenance)
+
+    def forward_session_ids(
+        self, session_ids: Sequence[str], source: HandoverProtocol | None
+    ) -> None:
+        """Tell all processes of this proxy but the source of session ids."""
+        for protocol in self._other_processes(source):
+            protocol.share_session_ids(session_ids)
+
+    def _other_processes(
+        self, source: HandoverProtocol | None
+    ) -> Iterator[HandoverProtocol]:
+        """Yield the established handovers to other processes than the source."""
         for protocol in (self._receiver, self._sender):
             if (
                 protocol
@@ -187,4 +202,4 @@
                 and not protocol.is_ended
                 and protocol.is_established
             ):
-                protocol.send_maintenance(server_name, is_in_maintenance)
+                yield protocol
--- a/wheathill/handover/messages.py
+++ b/wheathill/handover/messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from wheathill.handover.errors import HandoverError
+from wheathill.handover.validation import require_type
 
 PROTOCOL_VERSION = 1  # a process with another version is rejected
 
@@ -21,6 +22,9 @@
 SESSIONS_RECEIVED = "carried"
 DESCRIPTORS_HELD = "held"
 MAINTENANCE = "hand"
+SESSION_IDS = "used"
+
+MAX_SESSION_IDS = 1000  # in a message
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,3 +169,31 @@
         if not isinstance(name, str) or not isinstance(is_in_maintenance, bool):
             raise HandoverError("maintenance change is not a server name and a bool")
         return cls(name, is_in_maintenance)
+
+
+@dataclass(frozen=True, slots=True)
+class SessionIdsUsed:
+    """Session ids that a process has taken since the old one sent its state.
+
+    The other process rejects a session with one of them. Either process sends them only
+    if the other understands them: the old one says so in its state, the new one by its
+    first message, which may be empty.
+    """
+
+    session_ids: list[str]
+
+    def encode(self) -> dict:
+        """Return the message's object."""
+        return {SESSION_IDS: self.session_ids}
+
+    @classmethod
+    def decode(cls, value: object) -> "SessionIdsUsed":
+        """Return the message for a value.
+
+        Raises:
+            HandoverError: if it is not a list of a limited number of strings.
+        """
+        session_ids = require_type(value, list)
+        if len(session_ids) > MAX_SESSION_IDS:
+            raise HandoverError(f"more than {MAX_SESSION_IDS} session ids")
+        return cls([require_type(session_id, str) for session_id in session_ids])
--- a/wheathill/handover/protocol.py
+++ b/wheathill/handover/protocol.py
@@ -11,6 +11,7 @@
     carried COUNT                      ->
                                        <-  held COUNT (descriptors)
     hand [SERVER, IS_IN_MAINTENANCE]  <->  hand [SERVER, IS_IN_MAINTENANCE]
+    used [SESSION_ID, ...]            <->  used [SESSION_ID, ...]
 
 After `took`, sessions are handed over until the old process exits.
 
@@ -25,7 +26,11 @@
 
 from wheathill.handover.errors import HandoverError
 from wheathill.handover.interfaces import Connection, EventLog, Handle
-from wheathill.handover.messages import MaintenanceChange
+from wheathill.handover.messages import (
+    MAX_SESSION_IDS,
+    MaintenanceChange,
+    SessionIdsUsed,
+)
 from wheathill.handover.restore import build_session
 from wheathill.handover.session_codec import decode_session
 from wheathill.log_events import LogEvent
@@ -178,3 +183,23 @@
         self._proxy.set_maintenance(
             change.server_name, change.is_in_maintenance, forwarded_by=self
         )
+
+    # No session id may run at both processes of a proxy
+
+    def share_session_ids(self, session_ids: Sequence[str]) -> None:
+        """Tell the other process of session ids that this one has taken.
+
+        That has no effect if the other process is of a build that doesn't share them.
+        """
+        raise NotImplementedError
+
+    def send_session_ids(self, session_ids: Sequence[str]) -> None:
+        """Send session ids, in messages of limited size."""
+        for start in range(0, len(session_ids), MAX_SESSION_IDS):
+            batch = session_ids[start : start + MAX_SESSION_IDS]
+            self.send_message(SessionIdsUsed(list(batch)))
+
+    def apply_session_ids(self, value: object) -> None:
+        """Remember session ids that the other process has taken."""
+        session_ids = SessionIdsUsed.decode(value).session_ids
+        self._proxy.remember_session_ids(session_ids, forwarded_by=self)
--- a/wheathill/handover/receiver.py
+++ b/wheathill/handover/receiver.py
@@ -1,5 +1,6 @@
 """The new process's end of a handover: receives the state, then the sessions."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from wheathill.handover import messages
@@ -10,6 +11,7 @@
     Hello,
     Rejection,
     SessionBatch,
+    SessionIdsUsed,
     SessionsReceived,
     StateApplied,
 )
@@ -43,6 +45,7 @@
         self._coordinator: ReceiverCoordinator = coordinator
         self.has_state = False
         self._state_receiver: StateReceiver | None = StateReceiver(proxy.limits)
+        self._shares_session_ids = False
 
     @property
     def is_established(self) -> bool:
@@ -75,6 +78,8 @@
                 )
             case messages.MAINTENANCE:
                 self.apply_maintenance(value)
+            case messages.SESSION_IDS:
+                self.apply_session_ids(value)
             case _:
                 raise HandoverError(f"{name} message not expected in this state")
 
@@ -89,6 +94,14 @@
         self._state_receiver = None
         self._coordinator.on_state_received(failure_reason)
         self.send_message(StateApplied(with_state=failure_reason is None))
+        if state_receiver.shares_session_ids:
+            self._shares_session_ids = True
+            self.send_message(SessionIdsUsed([]))
+
+    def share_session_ids(self, session_ids: Sequence[str]) -> None:
+        """Tell the old process of session ids, see `HandoverProtocol`."""
+        if self._shares_session_ids:
+            self.send_session_ids(session_ids)
 
     def _on_sessions(self, value: object) -> None:
         batch = SessionBatch.decode(value, len(self._unclaimed_handles))
--- a/wheathill/handover/records.py
+++ b/wheathill/handover/records.py
@@ -105,6 +105,7 @@
     session_ids: list[str]  # oldest first
     server_names: list[str]  # all that were ever listed; longest unlisted first
     policy: PolicyRecord
+    shares_session_ids: bool = False  # whether the sender understands SessionIdsUsed
 
 
 @dataclass(slots=True)
--- a/wheathill/handover/restore.py
+++ b/wheathill/handover/restore.py
@@ -51,6 +51,7 @@
     session_ids: list[str]
     server_names: list[str]
     policy: PolicyRecord
+    shares_session_ids: bool
 
     @classmethod
     def build(cls, snapshot: HandoverSnapshot) -> "RestoredState":
@@ -89,6 +90,7 @@
             session_ids=snapshot.session_ids,
             server_names=snapshot.server_names,
             policy=snapshot.policy,
+            shares_session_ids=snapshot.shares_session_ids,
         )
 
     def apply(self, proxy: Proxy) -> None:
--- a/wheathill/handover/sender.py
+++ b/wheathill/handover/sender.py
@@ -1,7 +1,7 @@
 """The old process's end of a handover: sends the state, then the sessions."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from itertools import islice
 from typing import Protocol
 
@@ -71,6 +71,9 @@
         self._unacknowledged_sessions: list[dict] = []
         self._unacknowledged_handles: list[Handle] = []
         self._reported_descriptor_count: int | None = None  # to the other process
+        # Taken since the state was sent, until the other process has said that it
+        # understands them; None from then on.
+        self._unshared_session_ids: list[str] | None = []
 
     @property
     def is_established(self) -> bool:
@@ -95,6 +98,8 @@
                 SenderState.STATE_SENT | SenderState.SENDING_SESSIONS,
             ):
                 self.apply_maintenance(value)
+            case messages.SESSION_IDS, SenderState.SENDING_SESSIONS:
+                self._on_session_ids(value)
             case _:
                 raise HandoverError(f"{name} message not expected in this state")
 
@@ -181,6 +186,18 @@
         self._unacknowledged_sessions, self._unacknowledged_handles = [], []
         self.send_sessions()
 
+    def _on_session_ids(self, value: object) -> None:
+        unshared, self._unshared_session_ids = self._unshared_session_ids, None
+        self.send_session_ids(unshared or ())
+        self.apply_session_ids(value)
+
+    def share_session_ids(self, session_ids: Sequence[str]) -> None:
+        """Tell the new process of session ids, see `HandoverProtocol`."""
+        if self._unshared_session_ids is None:
+            self.send_session_ids(session_ids)
+        elif len(self._unshared_session_ids) < self.limits.max_session_ids:
+            self._unshared_session_ids += session_ids
+
     def on_ended(self, reason: str) -> None:
         """Serve the unacknowledged sessions again.
 
--- a/wheathill/handover/snapshot.py
+++ b/wheathill/handover/snapshot.py
@@ -38,6 +38,7 @@
         policy=collect_policy(
             balancer, indexes, proxy.list_version, proxy.node.discovery_address
         ),
+        shares_session_ids=True,
     )
 
 
--- a/wheathill/handover/state_codec.py
+++ b/wheathill/handover/state_codec.py
@@ -42,7 +42,12 @@
     yield from _split_section("exceptions", exceptions)
     yield from _split_section("ids", snapshot.session_ids)
     yield from _split_section("names", snapshot.server_names)
-    yield {"rest": encode_policy(snapshot.policy)}
+    yield {
+        "rest": {
+            **encode_policy(snapshot.policy),
+            "shares_ids": snapshot.shares_session_ids,
+        }
+    }
 
 
 def decode_snapshot(sections: dict) -> HandoverSnapshot:
@@ -62,6 +67,8 @@
         session_ids=[require_type(name, str) for name in sections["ids"]],
         server_names=[require_type(name, str) for name in sections["names"]],
         policy=decode_policy(policy),
+        # Absent in builds that don't share them.
+        shares_session_ids=policy.get("shares_ids") is True,
     )
 
 
--- a/wheathill/handover/state_receiver.py
+++ b/wheathill/handover/state_receiver.py
@@ -13,9 +13,15 @@
 
 
 class StateReceiver:
-    """Collects the sections of a state, each from one or more messages."""
+    """Collects the sections of a state, each from one or more messages.
+
+    Attributes:
+        shares_session_ids: whether the state was applied, and its sender understands
+            the session ids that this process takes.
+    """
 
     def __init__(self, limits: ProxyLimits) -> None:
+        self.shares_session_ids = False
         self._limits = limits
         # An empty section is not sent, except that of the servers.
         self._sections: dict = {
@@ -51,6 +57,7 @@
         except (KeyError, TypeError, IndexError, AttributeError) as error:
             raise HandoverError(f"malformed state: {error!r}") from None
         state.apply(proxy)
+        self.shares_session_ids = state.shares_session_ids
 
     def _max_entries(self, section: str) -> int:
         """Return the maximum number of entries of a section in one process.
