Lists: an older list does not undo the start that a newer one has told

Cause: whether a list is behind was asked only for servers that had left; of a ready server any entry set the start, also an earlier one or none, and slow start ended.

Change: net/listed_state decides for both what holds after an entry; the version is kept for every listed server. stale_endpoint_list says so for starts as well.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,6 +19,7 @@
         "wheathill.net.fault_isolation",
         "wheathill.net.graceful_shutdown",
         "wheathill.net.line_buffer",
+        "wheathill.net.listed_state",
         "wheathill.net.load_report",
         "wheathill.net.maintenance_store",
         "wheathill.net.metrics",
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -38,8 +38,8 @@
         zone_indexes: zone name -> index.
         servers: name -> server.
         known_names: names of all servers that were ever listed, those unlisted for the
-            longest time first. Each has None, or the list's version and the server's
-            start when it left.
+            longest time first. Each has its `ListedState`, or None if only its name is
+            known.
         addresses: server -> (host, port).
         clients: session -> client, in order of arrival.
         awaiting_answer: clients with a line that waits for an answer, longest first.
--- a/wheathill/net/update_handling.py
+++ b/wheathill/net/update_handling.py
@@ -8,6 +8,7 @@
 from wheathill.log_events import LogEvent
 from wheathill.model import AttemptOutcome, EndpointEntry, Phase, Server, UpdateKind
 from wheathill.net.discovery import Watch
+from wheathill.net.listed_state import ListedState, resolve_entry
 from wheathill.net.maintenance_store import maintenance_store_of
 
 PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
@@ -253,10 +254,10 @@
             UpdateKind.SNAPSHOT if update.get("whole") else UpdateKind.DELTA
         )
         version = update.get("seq") if isinstance(update.get("seq"), int) else None
-        entries, readdressed, unreadable_count = [], [], 0
+        entries, states, readdressed, unreadable_count = [], {}, [], 0
         for host in update["hosts"]:
             try:
-                entries.append(self.parse_entry(host, version, readdressed))
+                entries.append(self.parse_entry(host, version, states, readdressed))
             except (AttributeError, KeyError, TypeError, ValueError) as error:
                 self.list_errors.add(
                     self.limits, f"endpoint list has an invalid entry: {error!r}"
@@ -275,7 +276,7 @@
             # it must do so once more.
             self.balancer.endpoint_list.servers = servers_before
             raise
-        self.record_names(entries, kind, version)
+        self.record_names(entries, states, kind, version)
         for server in readdressed:
             # A new address does not count against the server. This follows the update, as
             # the sessions that wait for the probe's result make their attempts now.
@@ -310,21 +311,25 @@
             self.consecutive_rereads += 1
             self.clock.after(delay_ms, self.reopen_watch, watch)
 
-    def record_names(self, entries, kind, version):
-        """Remember which servers were listed, and which have left at what version."""
+    def record_names(self, entries, states, kind, version):
+        """Remember what a list has said of each server, and which it has left out.
+
+        `states` lacks the servers whose entries could not be read.
+        """
         for entry in entries:
             name = entry.server.name
             self.known_names.pop(name, None)
-            self.known_names[name] = (
-                None if entry.phase is Phase.READY else (version, entry.started_ms)
+            self.known_names[name] = states.get(name) or ListedState(
+                version, entry.started_ms, has_left=entry.phase is not Phase.READY
             )
         if kind is UpdateKind.SNAPSHOT:
             for server in self.servers.values():
-                if (
-                    server.phase is Phase.GONE
-                    and self.known_names.get(server.name) is None
-                ):
-                    self.known_names[server.name] = version, server.started_ms
+                known = self.known_names.get(server.name)
+                if server.phase is Phase.GONE and not (known and known.has_left):
+                    started_ms = known.started_ms if known else server.started_ms
+                    self.known_names[server.name] = ListedState(
+                        version, started_ms, has_left=True
+                    )
 
     def forget_gone_servers(self):
         """Drop what is kept of servers that are gone.
@@ -377,12 +382,13 @@
                 [EndpointEntry(server, phase, server.weight, started_ms)],
             )
 
-    def parse_entry(self, host, version, readdressed):
+    def parse_entry(self, host, version, states, readdressed):
         """Return one entry of the endpoint list, and note the server's address.
 
         Args:
             host: the entry as it was received.
             version: of the list, or None.
+            states: by name, what holds of the server by the lists is added.
             readdressed: the server is appended if its address has changed.
 
         Raises:
@@ -414,26 +420,18 @@
             listed = self.peers.record_list_entry(name, phase, started_unix_ms)
             phase, started_unix_ms = listed.phase, listed.process_start_ms
         started_ms = self.clock.from_wall(started_unix_ms) if started_unix_ms else None
-        left_version, left_started_ms = self.known_names.get(name) or (None, None)
-        if (
-            phase is Phase.READY
-            and None not in (left_version, version)
-            and version < left_version
-            and (started_ms or -math.inf) <= (left_started_ms or -math.inf)
-        ):
-            # The agent is behind, at a new address or after a restart. A server that a
-            # newer list made leave is not brought back by an older one, unless it has
-            # started since.
+        known = self.known_names.get(name)
+        resolved = resolve_entry(known, version, phase, started_ms)
+        if resolved.is_return_stale:
+            phase = server.listed_phase if name in self.servers else Phase.GONE
+        if resolved.is_return_stale or started_ms != resolved.state.started_ms:
             self.log_event(
                 LogEvent.STALE_ENDPOINT_LIST,
                 server=name,
                 version=version,
-                newer=left_version,
-            )
-            phase, started_ms = (
-                server.listed_phase if name in self.servers else Phase.GONE,
-                left_started_ms,
+                newer=known.version,
             )
+        started_ms, states[name] = resolved.state.started_ms, resolved.state
         if address is not None:
             if self.addresses.get(server, address) != address:
                 readdressed.append(server)
