Upgrades: what the lists have said of each server goes over with the state

Cause: the state held the names of listed servers without the version, the start and whether they had left, so that the new process could not tell that a list is older.

Change: the last section of the state has them for servers that have left or state a start, the latest 4,096. Builds before ignore the field. The stand-in of test_golden_handover requires it at the end and takes it off, so that all else is compared byte for byte as before.

--- a/tests/test_golden_handover.py
+++ b/tests/test_golden_handover.py
@@ -16,10 +16,13 @@
 import sys
 import types
 
+import orjson
 import pytest
 
 from wheathill.config.platform import build_node_config
 from wheathill.handover.coordinator import UpgradeCoordinator
+from wheathill.handover.snapshot import collect_snapshot
+from wheathill.handover.state_codec import encode_snapshot
 from wheathill.log_events import LogEvent
 from wheathill.net.proxy import Proxy
 from wheathill.policy.outlier_detection import RecordedAttempt
@@ -109,20 +112,25 @@
     send = set_paused = send_eof = close_gracefully = ignore
 
 
-# Added to the state since that commit, whose processes ignore it.
-SHARES_IDS = b',"shares_ids":true'
+# Added to the last section of the state since that commit, whose processes ignore them.
+ADDED_FIELDS = ["shares_ids", "listed"]
 
 
 class UnixConnection:
-    """One to another process: keeps what is sent, without `SHARES_IDS`, which must stand where it belongs."""
+    """One to another process: keeps what is sent, without `ADDED_FIELDS`, which must stand at the end."""
 
     def __init__(self, carrier):
         self.transport, self.over, self.sent = carrier, False, []
 
     def send(self, data, handles=()):
         if data.startswith(b'{"rest":'):
-            assert data.endswith(SHARES_IDS + b"}}\n")
-            data = data.replace(SHARES_IDS, b"")
+            fields = json.loads(data)["rest"]
+            assert list(fields)[-len(ADDED_FIELDS) :] == ADDED_FIELDS
+            kept, _, added = data.rpartition(b',"shares_ids":')
+            assert json.loads(b'{"shares_ids":' + added[:-2]) == {
+                name: fields[name] for name in ADDED_FIELDS
+            }
+            data = kept + b"}}\n"
         if not self.over:
             self.sent.append((data, list(handles)))
 
@@ -672,6 +680,29 @@
     )
 
 
+def test_a_server_that_drains_stays_out_after_an_upgrade_and_an_older_list():
+    # Guards against an upgrade that forgets by which version a server has left.
+    old, new = old_process(), Process(beside=True)
+    for fields in encode_snapshot(collect_snapshot(old.proxy), old.proxy.now(), 1e6):
+        new.receiver.deliver(orjson.dumps(fields, default=tuple) + b"\n")
+    new.receiver.deliver(message(told=True))
+    draining = next(name for name, health, *_ in HOSTS if health == "draining")
+    for name, state in old.proxy.known_names.items():
+        if state is not None and (state.has_left or state.started_ms is not None):
+            assert new.proxy.known_names[name] == state
+    older_list = {
+        "seq": 6,
+        "whole": False,
+        "hosts": [{"host": draining, "health": "ready"}],
+    }
+    new.proxy.on_endpoint_list(older_list)
+    ready = [server.name for server in new.proxy.balancer.endpoint_list.servers]
+    assert draining not in ready
+    new.proxy.on_endpoint_list({**older_list, "seq": 8})
+    ready = [server.name for server in new.proxy.balancer.endpoint_list.servers]
+    assert draining in ready
+
+
 def sent_ids(connection):
     return [data for data, _ in connection.sent if data.startswith(b'{"used"')]
 
--- a/wheathill/handover/records.py
+++ b/wheathill/handover/records.py
@@ -7,7 +7,7 @@
 `HandoverSnapshot.servers`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wheathill.model import Phase
 
@@ -94,6 +94,15 @@
     attempts: list[AttemptRecord]
 
 
+@dataclass(slots=True)
+class ListedStateRecord:
+    """What the lists have last said of a server, see `net.listed_state.ListedState`."""
+
+    version: int | None
+    started_ms: float | None
+    has_left: bool
+
+
 @dataclass(slots=True)
 class HandoverSnapshot:
     """The whole state of a proxy except its sessions."""
@@ -106,6 +115,7 @@
     server_names: list[str]  # all that were ever listed; longest unlisted first
     policy: PolicyRecord
     shares_session_ids: bool = False  # whether the sender understands SessionIdsUsed
+    listed_states: dict[str, ListedStateRecord] = field(default_factory=dict)  # by name
 
 
 @dataclass(slots=True)
--- a/wheathill/handover/restore.py
+++ b/wheathill/handover/restore.py
@@ -18,6 +18,7 @@
     SlotTableRecord,
 )
 from wheathill.model import Listener, Phase, Server, Session
+from wheathill.net.listed_state import ListedState
 from wheathill.net.proxy import Proxy
 from wheathill.policy.endpoint_list import MaintenancePeriod
 from wheathill.policy.outlier_detection import RecordedAttempt
@@ -52,6 +53,7 @@
     server_names: list[str]
     policy: PolicyRecord
     shares_session_ids: bool
+    listed_states: dict[str, ListedState]
 
     @classmethod
     def build(cls, snapshot: HandoverSnapshot) -> "RestoredState":
@@ -91,6 +93,10 @@
             server_names=snapshot.server_names,
             policy=snapshot.policy,
             shares_session_ids=snapshot.shares_session_ids,
+            listed_states={
+                name: ListedState(state.version, state.started_ms, state.has_left)
+                for name, state in snapshot.listed_states.items()
+            },
         )
 
     def apply(self, proxy: Proxy) -> None:
@@ -99,7 +105,9 @@
         proxy.addresses.update(self.addresses)
         # Builds without bounded names send long ones.
         proxy.session_ids.update(dict.fromkeys(map(bounded_name, self.session_ids)))
-        proxy.known_names.update(dict.fromkeys(self.server_names))
+        proxy.known_names.update(
+            (name, self.listed_states.get(name)) for name in self.server_names
+        )
         self._apply_endpoint_list(proxy)
         self._apply_slots(proxy)
         self._apply_estimates(proxy)
--- a/wheathill/handover/snapshot.py
+++ b/wheathill/handover/snapshot.py
@@ -6,6 +6,7 @@
     AttemptRecord,
     HandoverSnapshot,
     KeyRouteRecord,
+    ListedStateRecord,
     PolicyRecord,
     RetryRecord,
     ServerRecord,
@@ -18,6 +19,9 @@
 from wheathill.policy.balancer import Balancer
 from wheathill.policy.slot_table import KeyRoute, SlotTable
 
+# They go over in one message; the latest are kept.
+MAX_LISTED_STATES = 4096
+
 ServerIndexes = Mapping[Server, int]  # server -> index of its record
 
 
@@ -39,9 +43,23 @@
             balancer, indexes, proxy.list_version, proxy.node.discovery_address
         ),
         shares_session_ids=True,
+        listed_states=_collect_listed_states(proxy),
     )
 
 
+def _collect_listed_states(proxy: Proxy) -> dict[str, ListedStateRecord]:
+    """Return what the lists say of servers, of those that have left or state a start.
+
+    Of the others an older list says nothing that would undo it.
+    """
+    states = {
+        name: ListedStateRecord(*state)
+        for name, state in proxy.known_names.items()
+        if state is not None and (state.has_left or state.started_ms is not None)
+    }
+    return dict(list(states.items())[-MAX_LISTED_STATES:])
+
+
 def collect_server(server: Server, address: tuple[str, int] | None) -> ServerRecord:
     """Return the record of one server."""
     return ServerRecord(
--- a/wheathill/handover/state_codec.py
+++ b/wheathill/handover/state_codec.py
@@ -10,12 +10,18 @@
     AttemptRecord,
     HandoverSnapshot,
     KeyRouteRecord,
+    ListedStateRecord,
     PolicyRecord,
     RetryRecord,
     SlotTableRecord,
 )
 from wheathill.handover.server_codec import decode_server, decode_time, split_servers
-from wheathill.handover.validation import require_count, require_number, require_type
+from wheathill.handover.validation import (
+    require_count,
+    require_number,
+    require_optional_number,
+    require_type,
+)
 
 # Keys, ids or names in a message; a larger message would block the event loop for long.
 MAX_MESSAGE_ENTRIES = 1000
@@ -46,6 +52,10 @@
         "rest": {
             **encode_policy(snapshot.policy),
             "shares_ids": snapshot.shares_session_ids,
+            "listed": {
+                name: (state.version, state.started_ms, state.has_left)
+                for name, state in snapshot.listed_states.items()
+            },
         }
     }
 
@@ -69,6 +79,20 @@
         policy=decode_policy(policy),
         # Absent in builds that don't share them.
         shares_session_ids=policy.get("shares_ids") is True,
+        # Absent in builds that hand over names alone.
+        listed_states={
+            require_type(name, str): _decode_listed_state(entry)
+            for name, entry in policy.get("listed", {}).items()
+        },
+    )
+
+
+def _decode_listed_state(entry: Sequence) -> ListedStateRecord:
+    version, started_ms, has_left = entry
+    return ListedStateRecord(
+        version=None if version is None else require_count(version),
+        started_ms=require_optional_number(started_ms),
+        has_left=require_type(has_left, bool),
     )
 
 
