Lists: a whole list unlists each server that it lacks, also one out by hand

Cause: a whole list was compared with the servers in use alone, so that listed_phase of all others stayed as it was; calls by hand, older lists and unreadable entries fall back on it.

Change: the endpoint list knows which servers are listed, in use or not, and unlists those that a whole list lacks, where such a list is proof.

--- a/wheathill/handover/restore.py
+++ b/wheathill/handover/restore.py
@@ -118,6 +118,11 @@
     def _apply_endpoint_list(self, proxy: Proxy) -> None:
         endpoint_list = proxy.balancer.endpoint_list
         endpoint_list.servers.update(self.ready_servers)
+        endpoint_list.listed.update(
+            (server, None)
+            for server in self.servers.values()
+            if server.listed_phase is not Phase.GONE
+        )
         endpoint_list.maintenance_since_ms.update(self.policy.maintenance_since_ms)
         endpoint_list.maintenance_ended_ms.update(
             (name, MaintenancePeriod(*period))
--- a/wheathill/net/update_handling.py
+++ b/wheathill/net/update_handling.py
@@ -325,7 +325,8 @@
         if kind is UpdateKind.SNAPSHOT:
             for server in self.servers.values():
                 known = self.known_names.get(server.name)
-                if server.phase is Phase.GONE and not (known and known.has_left):
+                is_gone = Phase.GONE in (server.phase, server.listed_phase)
+                if is_gone and not (known and known.has_left):
                     started_ms = known.started_ms if known else server.started_ms
                     self.known_names[server.name] = ListedState(
                         version, started_ms, has_left=True
--- a/wheathill/policy/endpoint_list.py
+++ b/wheathill/policy/endpoint_list.py
@@ -53,6 +53,7 @@
     Attributes:
         servers: the ready servers, ordered by name, so that the order is the same at
             every proxy.
+        listed: the servers that are listed as ready or draining, in any order.
         maintenance_since_ms: for each server in maintenance, by name, when it began.
         maintenance_ended_ms: for servers no longer in maintenance, by name, the last
             period of it.
@@ -80,6 +81,7 @@
             self._max_spread_ms, proxy_count * ENDPOINT_LIST_CALL_MS
         )
         self.servers: dict[Server, None] = {}
+        self.listed: dict[Server, None] = {}
         self.maintenance_since_ms: dict[str, float] = {}
         self.maintenance_ended_ms: dict[str, MaintenancePeriod] = {}
         self._is_watching = False
@@ -145,9 +147,10 @@
         for entry in entries:
             self._apply_entry(now_ms, entry, joined, left)
         if kind not in (UpdateKind.DELTA, UpdateKind.MAINTENANCE):
-            listed = {entry.server: None for entry in entries}
-            for server in [server for server in self.servers if server not in listed]:
+            named = {entry.server: None for entry in entries}
+            for server in [server for server in self.servers if server not in named]:
                 self._handle_removal(now_ms, server, Phase.GONE, left)
+            self._unlist([server for server in self.listed if server not in named])
         self.servers.update(joined)
         self._keep_ready_servers()
         ready_joined = [server for server in joined if server in self.servers]
@@ -191,6 +194,10 @@
     ) -> None:
         server, phase = entry.server, entry.phase
         server.listed_phase, server.is_removal_unconfirmed = phase, False
+        if phase is Phase.GONE:
+            self.listed.pop(server, None)
+        else:
+            self.listed[server] = None
         if phase is Phase.READY and server.name in self.maintenance_since_ms:
             phase = Phase.DRAINING
         started_ms = self._effective_start_ms(server.name, entry.started_ms)
@@ -253,6 +260,16 @@
         else:
             self._remove(now_ms, server, phase, left)
 
+    def _unlist(self, servers: Sequence[Server]) -> None:
+        """Note that a complete list lacks servers, whether they are in use or not.
+
+        One in maintenance must not be put back as what it was listed before.
+        """
+        if self._removes_unlisted_servers:
+            for server in servers:
+                server.listed_phase = Phase.GONE
+                del self.listed[server]
+
     @staticmethod
     def _remove(
         now_ms: float, server: Server, phase: Phase, left: dict[Server, None]
