Maintenance: a server that the list calls gone is taken out where only draining binds

Cause: the call is applied as an entry with the listed phase, gone, which is no proof at such a site, so that the server stayed in use.

Change: in maintenance a server leaves whatever was listed.

--- a/tests/test_maintenance_lists.py
+++ b/tests/test_maintenance_lists.py
@@ -96,6 +96,18 @@
         assert scene.in_use() == scene.expected()
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_a_server_that_is_gone_can_be_taken_out_where_only_draining_binds(
+    is_whole: bool,
+) -> None:
+    # Guards against a call that is answered yes and has no effect.
+    scene = MaintainedScene(obligations={"drainGraceS": 0.5, "onlyDrainingBinds": True})
+    scene.tell({**scene.listed, "a": GONE}, whole=is_whole)
+    assert "a" in scene.in_use()
+    scene.by_hand("a", out=True)
+    assert scene.in_use() == {"b", "c"}
+
+
 def test_an_older_list_brings_no_server_back_that_a_whole_list_has_left_out() -> None:
     # Guards against a stale entry that falls back on what was listed before.
     scene = MaintainedScene()
--- a/wheathill/policy/endpoint_list.py
+++ b/wheathill/policy/endpoint_list.py
@@ -253,9 +253,13 @@
 
         If the settings do not remove unlisted servers, a server that is gone leaves
         once it also fails to answer. A draining server leaves the ready servers at
-        once, so its absence from a later list does not bring it back.
+        once, so its absence from a later list does not bring it back. One in
+        maintenance leaves in any case.
         """
-        if phase is Phase.GONE and not self._removes_unlisted_servers:
+        is_proof = (
+            self._removes_unlisted_servers or server.name in self.maintenance_since_ms
+        )
+        if phase is Phase.GONE and not is_proof:
             server.is_removal_unconfirmed = True
         else:
             self._remove(now_ms, server, phase, left)
