Shutdown: an inherited socket is read until another process has taken over

Cause: the socket was closed at SIGTERM wherever it was inherited, also where no other process reads it.

Change: it is closed only after a handover; a process that is left alone while it stops accepts again.

--- a/wheathill/handover/coordinator.py
+++ b/wheathill/handover/coordinator.py
@@ -156,17 +156,17 @@
             self._server_socket = None
 
     def on_sender_ended(self, sender: HandoverSender, reason: str) -> None:
-        """Roll back, as the new process is gone: accept again, unless stopping."""
+        """Roll back, as the new process is gone: accept again, also while stopping."""
         if sender is not self._sender:
             return
         self._sender = None
         self._proxy.handed_over = False
         self._restore_budgets()
         self.log_event(LogEvent.HANDOVER_ROLLED_BACK, why=reason)
-        if self._proxy.stopping_since_ms is None:
-            self._proxy.listening_socket.set_paused(False)
-            if self._server_socket is None:
-                self._listen_for_successor()
+        # Has no effect if this process was told to stop after the handover.
+        self._proxy.listening_socket.set_paused(False)
+        if self._proxy.stopping_since_ms is None and self._server_socket is None:
+            self._listen_for_successor()
 
     def _restore_budgets(self) -> None:
         if self._saved_process_started_ms is not None:
--- a/wheathill/net/graceful_shutdown.py
+++ b/wheathill/net/graceful_shutdown.py
@@ -75,9 +75,9 @@
         self._log_start(self.started_ms)
         self._shorten_pending_sessions()
         proxy.clock.at(self.answer_deadline_ms, proxy.answer_pending_sessions)
-        if proxy.node.listen_fd is not None and proxy.listening_socket:
-            # Other processes listen on the same socket, and serve the clients that wait
-            # there.
+        if proxy.handed_over and proxy.listening_socket:
+            # The process that has taken over listens on the same socket, and serves the
+            # clients that wait there. Without one they wait for this process.
             proxy.listening_socket.close()
         proxy.clock.after(
             self._first_check_delay_ms(self.started_ms), self._check, on_stopped
