Upgrades: no server is forgotten while its sessions are on their way

Cause: the new process has the servers with the state and their sessions in batches later. Its first list made it forget servers that are gone and hold no session here, and sessions that came after that were refused with both descriptors closed.

Change: during a handover neither process forgets a server; it does so at the end.

Open: a session that can't be adopted for another reason is still closed, as a batch is acknowledged first.

--- a/tests/test_golden_handover.py
+++ b/tests/test_golden_handover.py
@@ -703,6 +703,22 @@
     assert draining in ready
 
 
+def test_sessions_come_over_although_a_list_unlists_their_servers_before():
+    # Guards against servers that are forgotten while their sessions are on their way,
+    # which were then cut off at both processes.
+    new = Process(beside=True)
+    for side, handles, data in recorded():
+        if side == "old" and not data.startswith(b'{"hand"'):
+            if data.startswith(b'{"sessions"'):
+                new.proxy.on_endpoint_list({"seq": 9, "whole": True, "hosts": []})
+            new.receiver.deliver(data, ["handle"] * handles)
+    assert new.transport.adopted == 2 * len(SESSIONS)
+    kept = set(new.proxy.servers)
+    new.receiver.machine.lost(False)
+    held = {client.attempt.server.name for client in new.proxy.clients.values()}
+    assert held <= set(new.proxy.servers) < kept
+
+
 def sent_ids(connection):
     return [data for data, _ in connection.sent if data.startswith(b'{"used"')]
 
--- a/wheathill/handover/coordinator.py
+++ b/wheathill/handover/coordinator.py
@@ -44,6 +44,14 @@
         proxy.handover_coordinator = self
         proxy.listening_socket.set_paused(True)
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether sessions may be on their way between this process and another."""
+        return any(
+            protocol is not None and not protocol.is_ended
+            for protocol in (self._receiver, self._sender)
+        )
+
     # The new process
 
     def begin(self) -> None:
@@ -81,6 +89,7 @@
         If another upgrade is in progress, the request is first repeated for a while.
         """
         if receiver.has_state:
+            self._proxy.forget_gone_servers()
             self.log_event(LogEvent.PREVIOUS_PROCESS_EXITED, why=reason)
         elif (
             reason == UPGRADE_IN_PROGRESS
@@ -163,6 +172,7 @@
         self._proxy.handed_over = False
         self._restore_budgets()
         self.log_event(LogEvent.HANDOVER_ROLLED_BACK, why=reason)
+        self._proxy.forget_gone_servers()
         # Has no effect if this process was told to stop after the handover.
         self._proxy.listening_socket.set_paused(False)
         if self._proxy.stopping_since_ms is None and self._server_socket is None:
--- a/wheathill/net/update_handling.py
+++ b/wheathill/net/update_handling.py
@@ -336,8 +336,11 @@
         """Drop what is kept of servers that are gone.
 
         Names may be new with every release, so those of gone servers would accumulate.
-        A server that comes back later is a new one.
+        A server that comes back later is a new one. During a handover all are kept, as
+        sessions at any of them may be on their way between the processes.
         """
+        if self.handover_coordinator and self.handover_coordinator.is_handing_over:
+            return
         ready = self.balancer.endpoint_list.servers
         for name, server in list(self.servers.items()):
             if (
