--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -29,6 +29,9 @@
 from wheathill.net.maintenance_store import MaintenanceStore
 from wheathill.net.proxy import Proxy
 
+# How long the sessions of an upgrade may wait for UP.
+PATIENCE_S = 20
+
 
 class Desk:
     """What the routes lead to."""
@@ -517,17 +520,22 @@
 
 
 def upgrade_in_flight():
+    # Sessions wait for UP while the new process starts, however long that takes.
+    listener = {"name": "any", "repeat": "retryable", "dialTimeoutS": PATIENCE_S}
     with Rig(
         mode="proxy",
         inherited=True,
-        settings={"obligations": {"drainGraceS": 0.5, "coldS": 0}},
+        settings={
+            "listeners": [listener],
+            "obligations": {"drainGraceS": 0.5, "coldS": 0},
+        },
     ) as rig:
         rig.watched("a", "b")
         rig.until_logged(LogEvent.READY)
         client, server = rig.up()
         server.say("half a li", end="")
         client.hear_bytes(9)
-        waiting = rig.open("k2")
+        waiting = rig.open("k2", d=1000 * PATIENCE_S)
         dialled = rig.taken(("a", "b"))
         dialled.hear()
         silent = rig.client("client without a line")
@@ -542,7 +550,7 @@
         rig.call("PUT /maintenance/enter?host=a", old)
         dialled.say("UP r2")
         waiting.hear()
-        silent.say("OPEN id-k3 k3 c=any,t=t,d=2000")
+        silent.say(f"OPEN id-k3 k3 c=any,t=t,d={1000 * PATIENCE_S}")
         at_old = rig.taken(("a", "b"))
         at_old.hear()
         at_old.say("UP r3")
