Session ids are remembered by a class of their own, net/session_ids

Cause: session_handling held what is remembered of ids, its limit and the two ways of adding one. Change: SessionIds adds an id and forgets the oldest that are over; no behaviour changes.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -31,6 +31,7 @@
         "wheathill.net.server",
         "wheathill.net.server_lines",
         "wheathill.net.session_handling",
+        "wheathill.net.session_ids",
         "wheathill.net.update_handling",
         "wheathill.peers.replicated_table",
         "wheathill.peers.server_records",
--- a/wheathill/net/proxy.py
+++ b/wheathill/net/proxy.py
@@ -7,7 +7,6 @@
 """
 
 import random
-from collections import OrderedDict
 from dataclasses import replace
 
 from wheathill.log_events import LogEvent
@@ -16,6 +15,7 @@
 from wheathill.net.metrics import ProxyMetrics
 from wheathill.net.protocol_error_log import ProtocolErrorLog
 from wheathill.net.session_handling import SessionHandlingMixin
+from wheathill.net.session_ids import SessionIds
 from wheathill.net.update_handling import UpdateHandlingMixin
 from wheathill.policy.balancer import Balancer
 
@@ -45,8 +45,7 @@
         awaiting_answer: clients with a line that waits for an answer, longest first.
         silent_clients: clients that have sent no line yet -> when they connected,
             oldest first.
-        session_ids: remembered id -> its session while it is open, oldest first. An OrderedDict,
-            as finding the oldest key of a dict becomes slower with every deletion.
+        session_ids: the ids of sessions that are open or over.
         probe_connections: server -> connection for probes, the longest unused first.
         list_version: the version of the endpoint list that was applied.
         watch: the watch on the endpoint list.
@@ -88,7 +87,7 @@
         self.clients = {}
         self.awaiting_answer = {}
         self.silent_clients = {}
-        self.session_ids = OrderedDict()
+        self.session_ids = SessionIds()
         self.probe_connections = {}
         self.list_version = 0
         self.watch = None
--- a/wheathill/net/session_handling.py
+++ b/wheathill/net/session_handling.py
@@ -237,35 +237,21 @@
             and "at" not in request.values
         ):
             raise ProtocolError("session id was used before")
-        self.make_room_for_session_id()
-        self.session_ids[session_id] = session
+        self.session_ids.add(
+            session_id, session, self.clients, self.limits.max_session_ids
+        )
         if self.handover_coordinator:
             self.handover_coordinator.forward_session_ids([session_id], None)
 
     def remember_session_ids(self, session_ids, forwarded_by):
         """Remember ids of sessions that another process of this proxy has taken."""
         for session_id in session_ids:
-            self.make_room_for_session_id()
-            self.session_ids.setdefault(session_id, None)
+            self.session_ids.add(
+                session_id, None, self.clients, self.limits.max_session_ids
+            )
         if self.handover_coordinator and session_ids:
             self.handover_coordinator.forward_session_ids(session_ids, forwarded_by)
 
-    def make_room_for_session_id(self):
-        """Forget the oldest ids of sessions that are over, if the limit is reached.
-
-        Open sessions stay, and may be far more than the limit. Checking two ids for
-        each new one keeps those that are over fewer than the open ones and the limit
-        together. Checking as many as exceed the limit took seconds for each client.
-        """
-        id_count = len(self.session_ids)
-        is_full = id_count >= self.limits.max_session_ids
-        for _ in range(min(2, id_count) if is_full else 0):
-            oldest_id, owner = next(iter(self.session_ids.items()))
-            if owner in self.clients:
-                self.session_ids.move_to_end(oldest_id)
-            else:
-                del self.session_ids[oldest_id]
-
     def on_deadline_missed(self, client):
         """Answer a client that the balancer has not answered by its deadline.
 
